--- /dev/null
+++ b/src/core/command.hpp
@@ -0,0 +1,116 @@
+#ifndef HICKORYLATCH_CORE_COMMAND_HPP
+#define HICKORYLATCH_CORE_COMMAND_HPP
+
+#include "core/configuration.hpp"
+#include "core/ids.hpp"
+#include "core/submission.hpp"
+#include "core/verdict.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+/// First entry of each term; commits what earlier terms left behind.
+struct begin_term
+{
+    std::uint64_t m_unused = 0;
+};
+BOOST_DESCRIBE_STRUCT(begin_term, (), (m_unused))
+
+/// Accepts a submission and allots each of its tasks to an agent incarnation.
+struct accept_submission
+{
+    submission m_submission;
+    /// One agent for each task, in order.
+    std::vector<node_id> m_allotted;
+    unix_milliseconds m_accepted_at = 0;
+};
+BOOST_DESCRIBE_STRUCT(accept_submission, (),
+                      (m_submission, m_allotted, m_accepted_at))
+
+/// A task and the agent incarnation that may start it from now on.
+struct allotment
+{
+    std::uint32_t m_task = 0;
+    node_id m_agent = no_node;
+};
+BOOST_DESCRIBE_STRUCT(allotment, (), (m_task, m_agent))
+
+/// Moves tasks that were provably not started to other agents.
+struct reallot
+{
+    log_index m_origin = 0;
+    std::vector<allotment> m_allotments;
+};
+BOOST_DESCRIBE_STRUCT(reallot, (), (m_origin, m_allotments))
+
+/// Ends a submission with its whole answer.
+struct end_submission
+{
+    log_index m_origin = 0;
+    verdict m_verdict;
+    /// One answer for each task if it is complete, else empty.
+    std::vector<task_answer> m_answers;
+    unix_milliseconds m_ended_at = 0;
+};
+BOOST_DESCRIBE_STRUCT(end_submission, (),
+                      (m_origin, m_verdict, m_answers, m_ended_at))
+
+/// Replaces the configuration if its version is still the expected one.
+struct change_configuration
+{
+    /// Operator's request id; a resend gets the first outcome.
+    std::string m_request_id;
+    configuration_version m_expected = 0;
+    configuration m_configuration;
+};
+BOOST_DESCRIBE_STRUCT(change_configuration, (),
+                      (m_request_id, m_expected, m_configuration))
+
+/// Forgets ended submissions that ended before the given time.
+struct expire_keys
+{
+    unix_milliseconds m_before = 0;
+};
+BOOST_DESCRIBE_STRUCT(expire_keys, (), (m_before))
+
+/// One member of the control group.
+struct member
+{
+    node_id m_node = no_node;
+    std::string m_address;
+    /// False while it only receives the state (a learner).
+    bool m_votes = true;
+};
+BOOST_DESCRIBE_STRUCT(member, (), (m_node, m_address, m_votes))
+
+/// Replaces the membership of the control group. Differs from the one before
+/// by at most one voter.
+struct change_membership
+{
+    std::string m_request_id;
+    std::vector<member> m_members;
+};
+BOOST_DESCRIBE_STRUCT(change_membership, (), (m_request_id, m_members))
+
+/// What the replicated log holds. Order is part of the stored format: new
+/// alternatives go to the end.
+using command =
+    std::variant<begin_term, accept_submission, reallot, end_submission,
+                 change_configuration, expire_keys, change_membership>;
+
+/// One entry of the replicated log.
+struct log_entry
+{
+    log_index m_index = 0;
+    term_number m_term = 0;
+    command m_command;
+};
+BOOST_DESCRIBE_STRUCT(log_entry, (), (m_index, m_term, m_command))
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/message.hpp
@@ -0,0 +1,330 @@
+#ifndef HICKORYLATCH_CORE_MESSAGE_HPP
+#define HICKORYLATCH_CORE_MESSAGE_HPP
+
+#include "core/command.hpp"
+#include "core/configuration.hpp"
+#include "core/ids.hpp"
+#include "core/submission.hpp"
+#include "core/time.hpp"
+#include "core/verdict.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+enum class role : std::uint8_t
+{
+    entry,
+    control,
+    agent
+};
+
+/// First message on each link, from both sides.
+struct hello
+{
+    node_id m_node = no_node;
+    role m_role = role::entry;
+    /// Name from the settings, for logs and status.
+    std::string m_name;
+    /// Where this process accepts links; empty if it does not.
+    std::string m_address;
+    /// Identity of the control group; 0 if not known yet.
+    std::uint64_t m_cluster = 0;
+    std::string m_secret;
+};
+BOOST_DESCRIBE_STRUCT(hello, (),
+                      (m_node, m_role, m_name, m_address, m_cluster, m_secret))
+
+// Entry and control leader.
+
+/// A submission from an entry. The entry's sequence number names it in the
+/// answer and in a cancellation.
+struct submit
+{
+    std::uint64_t m_sequence = 0;
+    submission m_submission;
+};
+BOOST_DESCRIBE_STRUCT(submit, (), (m_sequence, m_submission))
+
+/// The caller no longer waits.
+struct cancel
+{
+    std::uint64_t m_sequence = 0;
+};
+BOOST_DESCRIBE_STRUCT(cancel, (), (m_sequence))
+
+struct submit_result
+{
+    std::uint64_t m_sequence = 0;
+    verdict m_verdict;
+    /// One answer for each task if it ran, else empty.
+    std::vector<task_answer> m_answers;
+};
+BOOST_DESCRIBE_STRUCT(submit_result, (), (m_sequence, m_verdict, m_answers))
+
+/// The receiver does not lead. Nothing was done with the message it answers.
+struct not_leader
+{
+    std::uint64_t m_sequence = 0;
+    node_id m_leader = no_node;
+};
+BOOST_DESCRIBE_STRUCT(not_leader, (), (m_sequence, m_leader))
+
+// Operators.
+
+struct query_status
+{
+    /// What to show: "status", "jobs", "configuration" or "agents".
+    std::string m_subject;
+};
+BOOST_DESCRIBE_STRUCT(query_status, (), (m_subject))
+
+struct cancel_job
+{
+    std::string m_request_id;
+    std::string m_customer;
+    std::string m_key;
+};
+BOOST_DESCRIBE_STRUCT(cancel_job, (), (m_request_id, m_customer, m_key))
+
+/// What an operator asks of the control leader.
+using operation = std::variant<query_status, change_configuration, cancel_job,
+                               change_membership>;
+
+struct operate
+{
+    std::uint64_t m_sequence = 0;
+    operation m_operation;
+};
+BOOST_DESCRIBE_STRUCT(operate, (), (m_sequence, m_operation))
+
+struct operate_result
+{
+    std::uint64_t m_sequence = 0;
+    verdict m_verdict;
+    configuration_version m_version = 0;
+    /// JSON text with what was asked for; empty for a change.
+    std::string m_document;
+};
+BOOST_DESCRIBE_STRUCT(operate_result, (),
+                      (m_sequence, m_verdict, m_version, m_document))
+
+// Agent and control leader.
+
+enum class agent_kind : std::uint8_t
+{
+    endpoint,
+    worker
+};
+
+/// What an agent stands beside.
+struct agent_info
+{
+    node_id m_node = no_node;
+    std::string m_name;
+    agent_kind m_kind = agent_kind::endpoint;
+    std::string m_service;
+    /// Tasks in progress at most.
+    std::uint32_t m_slots = 0;
+    std::uint32_t m_cores = 0;
+    std::uint32_t m_memory_mb = 0;
+    std::uint32_t m_accelerators = 0;
+    std::string m_rack;
+    std::string m_failure_domain;
+    /// Takes no new work: it is shutting down.
+    bool m_leaving = false;
+};
+BOOST_DESCRIBE_STRUCT(agent_info, (),
+                      (m_node, m_name, m_kind, m_service, m_slots, m_cores,
+                       m_memory_mb, m_accelerators, m_rack, m_failure_domain,
+                       m_leaving))
+
+/// Everything an agent knows that a new leader needs. Sent on each new link
+/// to a leader and when the agent starts to leave.
+struct announce
+{
+    agent_info m_agent;
+    std::vector<attempt_id> m_running;
+    /// Finished, and not yet forgotten at a leader's request.
+    std::vector<attempt_id> m_finished;
+};
+BOOST_DESCRIBE_STRUCT(announce, (), (m_agent, m_running, m_finished))
+
+/// Answers an announcement.
+struct welcome
+{
+    term_number m_term = 0;
+    /// Lease from the send time of the announcement.
+    duration m_lease{0};
+    configuration m_configuration;
+    std::vector<member> m_members;
+};
+BOOST_DESCRIBE_STRUCT(welcome, (),
+                      (m_term, m_lease, m_configuration, m_members))
+
+/// Orders an attempt. Repeating it to the same incarnation is safe.
+struct start
+{
+    term_number m_term = 0;
+    attempt_id m_attempt;
+    std::string m_service;
+    std::string m_path;
+    task m_task;
+    /// Time left when it was sent, in milliseconds; 0 for none.
+    std::uint32_t m_deadline_ms = 0;
+    trace_context m_trace;
+};
+BOOST_DESCRIBE_STRUCT(start, (),
+                      (m_term, m_attempt, m_service, m_path, m_task,
+                       m_deadline_ms, m_trace))
+
+/// The end of an attempt. With `not_run` the agent guarantees that it will
+/// never start this attempt.
+struct finished
+{
+    attempt_id m_attempt;
+    verdict m_verdict;
+    task_answer m_answer;
+};
+BOOST_DESCRIBE_STRUCT(finished, (), (m_attempt, m_verdict, m_answer))
+
+/// Stops an attempt. Answered by `finished`; an attempt that was not started
+/// is answered `not_run` and refused from then on.
+struct stop_attempt
+{
+    term_number m_term = 0;
+    attempt_id m_attempt;
+};
+BOOST_DESCRIBE_STRUCT(stop_attempt, (), (m_term, m_attempt))
+
+/// The leader holds these results durably or no longer needs them.
+struct forget
+{
+    term_number m_term = 0;
+    std::vector<attempt_id> m_attempts;
+};
+BOOST_DESCRIBE_STRUCT(forget, (), (m_term, m_attempts))
+
+/// Asks for a longer lease, from an agent or an entry.
+struct renew
+{
+    /// Send time by the sender's clock, echoed in the answer.
+    time_point m_sent_at{0};
+    /// Measured use of the worker, in thousandths of a core and in MB.
+    std::uint32_t m_used_millicores = 0;
+    std::uint32_t m_used_memory_mb = 0;
+};
+BOOST_DESCRIBE_STRUCT(renew, (),
+                      (m_sent_at, m_used_millicores, m_used_memory_mb))
+
+struct renewed
+{
+    time_point m_sent_at{0};
+    term_number m_term = 0;
+    duration m_lease{0};
+    configuration_version m_version = 0;
+};
+BOOST_DESCRIBE_STRUCT(renewed, (), (m_sent_at, m_term, m_lease, m_version))
+
+struct configuration_changed
+{
+    term_number m_term = 0;
+    configuration m_configuration;
+};
+BOOST_DESCRIBE_STRUCT(configuration_changed, (), (m_term, m_configuration))
+
+// Control replicas.
+
+struct vote_request
+{
+    term_number m_term = 0;
+    log_index m_last_index = 0;
+    term_number m_last_term = 0;
+    /// True asks only whether a vote would be given; changes no state.
+    bool m_is_probe = false;
+};
+BOOST_DESCRIBE_STRUCT(vote_request, (),
+                      (m_term, m_last_index, m_last_term, m_is_probe))
+
+struct vote_reply
+{
+    term_number m_term = 0;
+    bool m_granted = false;
+    bool m_is_probe = false;
+};
+BOOST_DESCRIBE_STRUCT(vote_reply, (), (m_term, m_granted, m_is_probe))
+
+struct append_request
+{
+    term_number m_term = 0;
+    log_index m_previous_index = 0;
+    term_number m_previous_term = 0;
+    std::vector<log_entry> m_entries;
+    log_index m_commit = 0;
+    /// Send time by the leader's clock, echoed in the reply.
+    time_point m_sent_at{0};
+};
+BOOST_DESCRIBE_STRUCT(append_request, (),
+                      (m_term, m_previous_index, m_previous_term, m_entries,
+                       m_commit, m_sent_at))
+
+struct append_reply
+{
+    term_number m_term = 0;
+    bool m_matched = false;
+    /// Last index synced at the follower, or a hint where to retry.
+    log_index m_index = 0;
+    time_point m_sent_at{0};
+};
+BOOST_DESCRIBE_STRUCT(append_reply, (), (m_term, m_matched, m_index, m_sent_at))
+
+/// One part of a snapshot, in order.
+struct install_snapshot
+{
+    term_number m_term = 0;
+    log_index m_last_index = 0;
+    term_number m_last_term = 0;
+    std::uint64_t m_offset = 0;
+    std::string m_data;
+    bool m_is_last = false;
+    time_point m_sent_at{0};
+};
+BOOST_DESCRIBE_STRUCT(install_snapshot, (),
+                      (m_term, m_last_index, m_last_term, m_offset, m_data,
+                       m_is_last, m_sent_at))
+
+struct install_reply
+{
+    term_number m_term = 0;
+    log_index m_last_index = 0;
+    std::uint64_t m_next_offset = 0;
+    time_point m_sent_at{0};
+};
+BOOST_DESCRIBE_STRUCT(install_reply, (),
+                      (m_term, m_last_index, m_next_offset, m_sent_at))
+
+/// Founds a control group: sent once to each first member.
+struct found_group
+{
+    std::uint64_t m_cluster = 0;
+    std::vector<member> m_members;
+};
+BOOST_DESCRIBE_STRUCT(found_group, (), (m_cluster, m_members))
+
+/// Everything that travels between processes of the system. The position of
+/// an alternative is its number on the wire: new ones go to the end.
+using message =
+    std::variant<hello, submit, cancel, submit_result, not_leader, operate,
+                 operate_result, announce, welcome, start, finished,
+                 stop_attempt, forget, renew, renewed, configuration_changed,
+                 vote_request, vote_reply, append_request, append_reply,
+                 install_snapshot, install_reply, found_group>;
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/verdict.hpp
@@ -0,0 +1,73 @@
+#ifndef HICKORYLATCH_CORE_VERDICT_HPP
+#define HICKORYLATCH_CORE_VERDICT_HPP
+
+#include <boost/describe.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hickorylatch::core
+{
+
+/// Says whether a request may have run.
+enum class run_state : std::uint8_t
+{
+    ran,         ///< It ran; the answer is its own.
+    not_run,     ///< It did not run and never will.
+    may_have_run ///< Unknown; a non-idempotent request must not be repeated.
+};
+
+/// Why a request was refused or a job failed.
+enum class reason : std::uint8_t
+{
+    none,
+    queue_full,          ///< Not run: the queue of its service is full.
+    deadline,            ///< The deadline passed or can't be met.
+    no_leader,           ///< No control leader is known.
+    no_capacity,         ///< No announced agent could ever run it.
+    key_conflict,        ///< Same key, different content.
+    key_forgotten,       ///< The key is older than the keys still kept.
+    keys_full,           ///< The table of keys is full.
+    unknown_customer,    ///< The customer is not in the configuration.
+    unknown_service,     ///< The service is not in the configuration.
+    quota,               ///< The customer's quota is used up.
+    cancelled,           ///< The caller or an operator cancelled it.
+    agent_lost,          ///< The agent that may have started it is gone.
+    call_failed,         ///< The endpoint or worker reported a failure.
+    draining,            ///< This process is shutting down.
+    lease_expired,       ///< This process holds no valid lease.
+    invalid,             ///< The record or request is malformed.
+    version_conflict,    ///< Another change of the configuration came first.
+    missing_submitted_at ///< A non-idempotent request needs its time.
+};
+
+/// The outcome of a request or job, without its body.
+struct verdict
+{
+    run_state m_run = run_state::not_run;
+    reason m_reason = reason::none;
+    /// Plain text for the caller; empty where the reason says it all.
+    std::string m_detail;
+    /// Suggested delay before a resend, in milliseconds; 0 for none.
+    std::uint32_t m_retry_after_ms = 0;
+
+    auto operator==(verdict const&) const -> bool = default;
+};
+BOOST_DESCRIBE_STRUCT(verdict, (),
+                      (m_run, m_reason, m_detail, m_retry_after_ms))
+
+[[nodiscard]] auto to_string(run_state state) -> std::string_view;
+[[nodiscard]] auto to_string(reason why) -> std::string_view;
+
+/// A refusal that is certain not to have run.
+[[nodiscard]] auto refused(reason why, std::string_view detail = {},
+                           std::uint32_t retry_after_ms = 0) -> verdict;
+
+/// A failure after which the request may have run.
+[[nodiscard]] auto uncertain(reason why, std::string_view detail = {})
+    -> verdict;
+
+} // namespace hickorylatch::core
+
+#endif
