Add Thrift compact codec over described aggregates

Each message is declared once, as a described aggregate; the codec walks its members. Field numbers are positions, so unknown later fields are skipped. Weighed: generated code with conversion functions, which would declare every message twice.

--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,41 @@
+#ifndef HICKORYLATCH_WIRE_CODEC_HPP
+#define HICKORYLATCH_WIRE_CODEC_HPP
+
+#include "core/effect.hpp"
+#include "core/message.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace hickorylatch::wire
+{
+
+/// Why bytes could not be decoded. Carried as a LEAF error object.
+struct decode_error
+{
+    std::string m_reason;
+};
+
+/// Thrift compact encoding of the body of one frame.
+[[nodiscard]] auto encode(core::message const& value) -> std::string;
+[[nodiscard]] auto encode(core::log_entry const& value) -> std::string;
+[[nodiscard]] auto encode(core::snapshot const& value) -> std::string;
+[[nodiscard]] auto encode(core::hard_state const& value) -> std::string;
+
+/// Fail with `decode_error` if the bytes are not exactly one value or a
+/// declared length is larger than the input. Never allocate more than a small
+/// multiple of the input.
+[[nodiscard]] auto decode_message(std::string_view bytes)
+    -> boost::leaf::result<core::message>;
+[[nodiscard]] auto decode_log_entry(std::string_view bytes)
+    -> boost::leaf::result<core::log_entry>;
+[[nodiscard]] auto decode_snapshot(std::string_view bytes)
+    -> boost::leaf::result<core::snapshot>;
+[[nodiscard]] auto decode_hard_state(std::string_view bytes)
+    -> boost::leaf::result<core::hard_state>;
+
+} // namespace hickorylatch::wire
+
+#endif
