--- /dev/null
+++ b/src/core/agent.cpp
@@ -0,0 +1,250 @@
+#include "core/agent.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// How long a stopping agent keeps results that no leader has stored.
+constexpr auto result_grace = std::chrono::seconds{5};
+
+auto to_field(attempt_id attempt) -> std::string
+{
+    return std::to_string(attempt.m_origin) + "/" +
+           std::to_string(attempt.m_task);
+}
+
+} // namespace
+
+agent::agent(agent_info info) : m_info{std::move(info)}
+{
+}
+
+auto agent::connected(hello const& peer) -> void
+{
+    // The leader speaks first. Its configuration on a new link is answered by
+    // an announcement, since messages of the old link may be lost.
+    m_lease.lose_leader(peer.m_node);
+}
+
+auto agent::disconnected(node_id peer) -> void
+{
+    m_lease.lose_leader(peer);
+}
+
+auto agent::receive(time_point now, node_id from, message const& incoming,
+                    random_source& random, effects& out) -> void
+{
+    if (auto const* greeting = std::get_if<welcome>(&incoming))
+        on(now, from, *greeting, out);
+    else if (auto const* change = std::get_if<configuration_changed>(&incoming))
+        on(now, from, *change, out);
+    else if (auto const* order = std::get_if<core::start>(&incoming))
+        on(now, from, *order, random, out);
+    else if (auto const* halt = std::get_if<stop_attempt>(&incoming))
+        on(now, *halt, out);
+    else if (auto const* stored = std::get_if<core::forget>(&incoming))
+        on(*stored);
+    else if (auto const* grant = std::get_if<renewed>(&incoming))
+        m_lease.extend(from, *grant);
+}
+
+auto agent::on(time_point now, node_id from, welcome const& greeting,
+               effects& out) -> void
+{
+    if (!m_lease.follow(from, greeting.m_renewed.m_term,
+                        greeting.m_configuration))
+        return;
+    m_lease.extend(from, greeting.m_renewed);
+    for (auto& [attempt, outcome] : m_finished)
+    {
+        outcome.m_sent_at = now;
+        out.emplace_back(send{from, outcome});
+    }
+    auto addresses = std::vector<std::string>{};
+    for (auto const& replica : greeting.m_members)
+        addresses.push_back(replica.m_address);
+    if (!addresses.empty())
+        out.emplace_back(keep_links{std::move(addresses)});
+}
+
+auto agent::on(time_point now, node_id from,
+               configuration_changed const& change, effects& out) -> void
+{
+    auto const is_new =
+        m_lease.leader() != from || m_lease.term() != change.m_term;
+    if (!m_lease.follow(from, change.m_term, change.m_configuration))
+        return;
+    if (is_new)
+        announce_to(now, from, out);
+}
+
+auto agent::why_not(time_point now, core::start const& order) const -> reason
+{
+    if (m_refused.contains(order.m_attempt))
+        return reason::cancelled;
+    if (m_is_stopping)
+        return reason::draining;
+    if (!m_lease.is_valid(now))
+        return reason::lease_expired;
+    if (m_running.size() >= m_info.m_slots)
+        return reason::queue_full;
+    return reason::none;
+}
+
+auto agent::on(time_point now, node_id from, core::start const& order,
+               random_source& random, effects& out) -> void
+{
+    // A leader of an older term gets no answer: the current one may still
+    // start this attempt here.
+    if (from != m_lease.leader() || order.m_term != m_lease.term())
+        return;
+    m_lease.extend(from, order.m_renewed);
+    auto const attempt = order.m_attempt;
+    if (m_running.contains(attempt))
+        return;
+    if (auto const done = m_finished.find(attempt); done != m_finished.end())
+    {
+        report(now, done->second, out);
+        return;
+    }
+    if (auto const why = why_not(now, order); why != reason::none)
+    {
+        refuse(now, attempt, why, out);
+        return;
+    }
+    auto const span = random.child_of(order.m_trace);
+    out.emplace_back(start_call{attempt, order.m_path, order.m_task,
+                                order.m_deadline_ms, span});
+    auto& call = m_running[attempt];
+    call.m_start = order;
+    call.m_start.m_task.m_body.clear();
+    call.m_span = span;
+    call.m_started = now;
+}
+
+auto agent::on(time_point now, stop_attempt const& order, effects& out) -> void
+{
+    if (order.m_term != m_lease.term())
+        return;
+    auto const attempt = order.m_attempt;
+    if (m_running.contains(attempt))
+        out.emplace_back(cancel_call{attempt});
+    else if (auto const done = m_finished.find(attempt);
+             done != m_finished.end())
+        report(now, done->second, out);
+    else
+        refuse(now, attempt, reason::cancelled, out);
+}
+
+auto agent::on(core::forget const& order) -> void
+{
+    if (order.m_term != m_lease.term())
+        return;
+    for (auto const attempt : order.m_attempts)
+    {
+        m_finished.erase(attempt);
+        m_refused.erase(attempt);
+    }
+}
+
+auto agent::call_finished(time_point now, core::call_finished const& call,
+                          effects& out) -> void
+{
+    auto const found = m_running.find(call.m_attempt);
+    if (found == m_running.end())
+        return;
+    auto const ended = std::exchange(found->second, {});
+    m_running.erase(found);
+    out.emplace_back(record_span{
+        ended.m_span,
+        ended.m_start.m_trace.m_span,
+        "agent.call",
+        ended.m_started,
+        now,
+        {{"attempt", to_field(call.m_attempt)},
+         {"verdict", std::string{to_string(call.m_verdict.m_run)}}}});
+    auto outcome = finished{call.m_attempt, call.m_verdict, call.m_answer, now};
+    if (call.m_verdict.m_run == run_state::not_run &&
+        !is_volatile(call.m_attempt))
+        m_refused.insert(call.m_attempt);
+    else if (!is_volatile(call.m_attempt))
+        m_finished[call.m_attempt] = outcome;
+    report(now, std::move(outcome), out);
+}
+
+auto agent::tick(time_point now, effects& out) -> void
+{
+    m_lease.tick(now, out);
+}
+
+auto agent::stop(time_point now, effects& out) -> void
+{
+    if (m_is_stopping)
+        return;
+    m_is_stopping = true;
+    m_stop_at = now + result_grace;
+    m_info.m_leaving = true;
+    if (m_lease.leader() != no_node)
+        announce_to(now, m_lease.leader(), out);
+}
+
+auto agent::is_idle(time_point now) const -> bool
+{
+    return m_is_stopping && m_running.empty() &&
+           (m_finished.empty() || now >= m_stop_at);
+}
+
+auto agent::has_lease(time_point now) const -> bool
+{
+    return m_lease.is_valid(now);
+}
+
+auto agent::next_deadline() const -> time_point
+{
+    auto const stopping =
+        m_is_stopping && m_running.empty() ? m_stop_at : never;
+    return std::min(m_lease.next_deadline(), stopping);
+}
+
+auto agent::config() const -> configuration const&
+{
+    return m_lease.config();
+}
+
+auto agent::announce_to(time_point now, node_id leader, effects& out) -> void
+{
+    auto news = announce{};
+    news.m_agent = m_info;
+    news.m_sent_at = now;
+    for (auto const& [attempt, call] : m_running)
+        news.m_running.push_back(attempt);
+    for (auto const& [attempt, outcome] : m_finished)
+        news.m_finished.push_back(attempt);
+    out.emplace_back(send{leader, std::move(news)});
+    m_lease.asked(now);
+}
+
+auto agent::refuse(time_point now, attempt_id attempt, reason why, effects& out)
+    -> void
+{
+    if (!is_volatile(attempt))
+        m_refused.insert(attempt);
+    report(now, finished{attempt, refused(why), {}, now}, out);
+}
+
+auto agent::report(time_point now, finished outcome, effects& out) -> void
+{
+    outcome.m_sent_at = now;
+    if (m_lease.leader() == no_node)
+        return;
+    out.emplace_back(send{m_lease.leader(), std::move(outcome)});
+}
+
+} // namespace hickorylatch::core
--- a/src/core/command.hpp
+++ b/src/core/command.hpp
@@ -23,13 +23,14 @@
 /// Accepts a submission and allots each of its tasks to an agent incarnation.
 struct accept_submission
 {
+    origin_id m_origin = 0;
     submission m_submission;
     /// One agent for each task, in order.
     std::vector<node_id> m_allotted;
     unix_milliseconds m_accepted_at = 0;
 };
 BOOST_DESCRIBE_STRUCT(accept_submission, (),
-                      (m_submission, m_allotted, m_accepted_at))
+                      (m_origin, m_submission, m_allotted, m_accepted_at))
 
 /// A task and the agent incarnation that may start it from now on.
 struct allotment
@@ -42,7 +43,7 @@
 /// Moves tasks that were provably not started to other agents.
 struct reallot
 {
-    log_index m_origin = 0;
+    origin_id m_origin = 0;
     std::vector<allotment> m_allotments;
 };
 BOOST_DESCRIBE_STRUCT(reallot, (), (m_origin, m_allotments))
@@ -50,7 +51,7 @@
 /// Ends a submission with its whole answer.
 struct end_submission
 {
-    log_index m_origin = 0;
+    origin_id m_origin = 0;
     verdict m_verdict;
     /// One answer for each task if it is complete, else empty.
     std::vector<task_answer> m_answers;
--- /dev/null
+++ b/src/core/control.cpp
@@ -0,0 +1,382 @@
+#include "core/control.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+control::control(control_settings settings, replica_settings log_settings,
+                 recovered_state recovered, image_codec codec,
+                 std::string address)
+    : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
+      m_address{std::move(address)}
+{
+    m_applied = m_snapshot = recovered.m_snapshot.m_last_index;
+    if (auto image = m_codec.m_decode(recovered.m_snapshot.m_data))
+        m_state = control_state{std::move(*image)};
+}
+
+auto control::context(time_point now, random_source& random, effects& out)
+    -> control_context
+{
+    return {now, m_wall, m_replica, m_state, random, out};
+}
+
+auto control::start(time_point now, std::uint64_t seed, effects& out) -> void
+{
+    m_replica.start(now, seed, out);
+}
+
+auto control::connected(time_point now, hello const& peer,
+                        random_source& random, effects& out) -> void
+{
+    m_peers[peer.m_node] = peer;
+    auto const with = context(now, random, out);
+    auto const members = m_replica.members();
+    auto const is_blank_member =
+        peer.m_cluster == 0 && m_replica.cluster() != 0 &&
+        std::ranges::find(members, peer.m_node, &member::m_node) !=
+            members.end();
+    if (is_blank_member)
+        out.emplace_back(
+            send{peer.m_node, found_group{m_replica.cluster(),
+                                          {members.begin(), members.end()}}});
+    if (peer.m_needs_configuration && m_coordinator &&
+        m_replica.has_quorum(now))
+        out.emplace_back(
+            send{peer.m_node,
+                 configuration_changed{m_replica.term(), m_state.config()}});
+    settle(with);
+}
+
+auto control::disconnected(time_point now, node_id peer, random_source& random,
+                           effects& out) -> void
+{
+    m_peers.erase(peer);
+    auto const with = context(now, random, out);
+    if (m_coordinator)
+        m_coordinator->disconnected(with, peer);
+    settle(with);
+}
+
+auto control::receive(time_point now, node_id from, message const& incoming,
+                      random_source& random, effects& out) -> void
+{
+    auto const with = context(now, random, out);
+    if (from_entry(with, from, incoming))
+    {
+    }
+    else if (auto const* group = std::get_if<found_group>(&incoming))
+        m_replica.found(group->m_cluster, group->m_members, out);
+    else if (std::holds_alternative<announce>(incoming) ||
+             std::holds_alternative<finished>(incoming) ||
+             std::holds_alternative<renew>(incoming))
+    {
+        // A leader without a quorum must not extend leases or take results:
+        // another one may lead already.
+        if (!is_leading(now))
+            return;
+        if (auto const* news = std::get_if<announce>(&incoming))
+            m_coordinator->announced(with, *news);
+        else if (auto const* outcome = std::get_if<finished>(&incoming))
+            m_coordinator->finished(with, from, *outcome);
+        else
+            m_coordinator->renewed(with, from, std::get<renew>(incoming));
+    }
+    else
+        m_replica.receive(now, from, incoming, out);
+    settle(with);
+}
+
+auto control::from_entry(control_context const& with, node_id from,
+                         message const& incoming) -> bool
+{
+    auto const* request = std::get_if<submit>(&incoming);
+    auto const* asked = std::get_if<core::operate>(&incoming);
+    auto const* dropped = std::get_if<cancel>(&incoming);
+    if (request == nullptr && asked == nullptr && dropped == nullptr)
+        return false;
+    if (!is_leading(with.m_now))
+    {
+        auto const sequence = request != nullptr ? request->m_sequence
+                              : asked != nullptr ? asked->m_sequence
+                                                 : 0;
+        with.m_out.emplace_back(
+            send{from, not_leader{sequence, m_replica.leader()}});
+    }
+    else if (request != nullptr)
+        m_coordinator->submit(with, from, *request);
+    else if (dropped != nullptr)
+        m_coordinator->cancel(with, from, *dropped);
+    else
+        operate(with, {from, asked->m_sequence}, asked->m_operation);
+    return true;
+}
+
+auto control::arrived(time_point now, operator_arrived const& request,
+                      random_source& random, effects& out) -> void
+{
+    auto const with = context(now, random, out);
+    auto const who = operator_wait{no_node, request.m_exchange};
+    if (auto const* order =
+            std::get_if<found_control_group>(&request.m_operation))
+        found(with, who, *order);
+    else
+        operate(with, who, request.m_operation);
+    settle(with);
+}
+
+auto control::operate(control_context const& with, operator_wait who,
+                      operation const& asked) -> void
+{
+    auto result = operate_result{};
+    result.m_verdict.m_run = run_state::ran;
+    result.m_version = m_state.config().m_version;
+    if (auto const* question = std::get_if<query_status>(&asked))
+        result.m_document =
+            status_document(*this, with.m_now, question->m_subject);
+    else if (!is_leading(with.m_now))
+        result.m_verdict = refused(reason::no_leader);
+    else if (auto const* change = std::get_if<change_configuration>(&asked))
+    {
+        propose_change(with, who, change->m_request_id, *change);
+        return;
+    }
+    else if (auto const* members = std::get_if<change_membership>(&asked))
+    {
+        propose_change(with, who, members->m_request_id, *members);
+        return;
+    }
+    else if (auto const* order = std::get_if<cancel_job>(&asked))
+        result.m_verdict = m_coordinator->cancel_job(with, *order);
+    else
+        result.m_verdict =
+            refused(reason::invalid, "ask a control process directly");
+    answer_operator(with.m_out, who, std::move(result));
+}
+
+auto control::propose_change(control_context const& with, operator_wait who,
+                             std::string const& request_id, command change)
+    -> void
+{
+    if (auto const* known = m_state.outcome(request_id))
+    {
+        answer_operator(with.m_out, who,
+                        {0, known->m_verdict, known->m_version, {}});
+        return;
+    }
+    auto const is_pending = m_operators.contains(request_id);
+    m_operators.emplace(request_id, who);
+    if (is_pending || m_replica.propose(std::move(change)))
+        return;
+    m_operators.erase(request_id);
+    answer_operator(with.m_out, who,
+                    {0,
+                     refused(reason::version_conflict,
+                             "another change of the membership is in progress, "
+                             "or this one changes more than one voter"),
+                     m_state.config().m_version,
+                     {}});
+}
+
+auto control::found(control_context const& with, operator_wait who,
+                    found_control_group const& order) -> void
+{
+    auto result = operate_result{};
+    auto members = std::vector<member>{{m_replica.identity(), m_address, true}};
+    for (auto const& [node, peer] : m_peers)
+    {
+        if (peer.m_role == role::control && peer.m_cluster == 0 &&
+            members.size() < order.m_members)
+            members.push_back({node, peer.m_address, true});
+    }
+    if (m_replica.cluster() != 0)
+        result.m_verdict =
+            refused(reason::invalid, "this replica already has a group");
+    else if (members.size() != order.m_members || members.empty())
+        result.m_verdict =
+            refused(reason::no_capacity,
+                    "has links to " + std::to_string(members.size() - 1) +
+                        " other blank replicas, needs " +
+                        std::to_string(order.m_members - 1),
+                    1000);
+    else
+    {
+        auto const cluster = with.m_random.number() | 1U;
+        m_replica.found(cluster, members, with.m_out);
+        for (auto const& replica : members)
+        {
+            if (replica.m_node != m_replica.identity())
+                with.m_out.emplace_back(
+                    send{replica.m_node, found_group{cluster, members}});
+        }
+        result.m_verdict.m_run = run_state::ran;
+    }
+    answer_operator(with.m_out, who, std::move(result));
+}
+
+auto control::answer_operator(effects& out, operator_wait who,
+                              operate_result result) -> void
+{
+    result.m_sequence = who.m_sequence;
+    if (who.m_entry == no_node)
+        out.emplace_back(reply_operator{who.m_sequence, std::move(result)});
+    else
+        out.emplace_back(send{who.m_entry, std::move(result)});
+}
+
+auto control::synced(time_point now, log_synced const& done,
+                     random_source& random, effects& out) -> void
+{
+    m_replica.synced(now, done.m_write, out);
+    settle(context(now, random, out));
+}
+
+auto control::saved(snapshot_saved const& done) -> void
+{
+    m_replica.snapshot_saved(done.m_last_index);
+}
+
+auto control::clock(clock_read const& reading) -> void
+{
+    m_wall = reading.m_now;
+}
+
+auto control::tick(time_point now, random_source& random, effects& out) -> void
+{
+    auto const with = context(now, random, out);
+    if (m_replica.next_deadline() <= now)
+        m_replica.tick(now, out);
+    if (is_leading(now))
+        m_coordinator->tick(with);
+    settle(with);
+}
+
+auto control::settle(control_context const& with) -> void
+{
+    if (auto installed = m_replica.take_installed())
+    {
+        m_applied = m_snapshot = installed->m_last_index;
+        if (auto image = m_codec.m_decode(installed->m_data))
+            m_state = control_state{std::move(*image)};
+    }
+    for (auto const& entry : m_replica.take_committed())
+        apply(with, entry);
+    follow_leadership(with);
+    if (is_leading(with.m_now))
+        m_coordinator->dispatch(with);
+    m_replica.flush(with.m_now, with.m_out);
+    compact(with);
+}
+
+auto control::apply(control_context const& with, log_entry const& entry) -> void
+{
+    m_state.apply(entry);
+    m_applied = entry.m_index;
+    if (std::holds_alternative<begin_term>(entry.m_command))
+        m_applied_term = entry.m_term;
+    if (m_coordinator)
+        m_coordinator->committed(with, entry);
+    auto const* change = std::get_if<change_configuration>(&entry.m_command);
+    auto const* members = std::get_if<change_membership>(&entry.m_command);
+    if (change != nullptr && m_coordinator)
+        broadcast(with);
+    if (change == nullptr && members == nullptr)
+        return;
+    auto const& request_id =
+        change != nullptr ? change->m_request_id : members->m_request_id;
+    auto const* outcome = m_state.outcome(request_id);
+    auto const waiting = m_operators.equal_range(request_id);
+    for (auto each = waiting.first; each != waiting.second; ++each)
+        answer_operator(with.m_out, each->second,
+                        {0, outcome->m_verdict, outcome->m_version, {}});
+    m_operators.erase(waiting.first, waiting.second);
+}
+
+auto control::broadcast(control_context const& with) -> void
+{
+    for (auto const& [node, peer] : m_peers)
+    {
+        if (peer.m_needs_configuration)
+            with.m_out.emplace_back(
+                send{node, configuration_changed{m_replica.term(),
+                                                 m_state.config()}});
+    }
+    with.m_out.emplace_back(
+        observe_metric{"hickorylatch_configuration_version",
+                       {},
+                       static_cast<double>(m_state.config().m_version)});
+}
+
+auto control::follow_leadership(control_context const& with) -> void
+{
+    if (!m_replica.is_leader())
+    {
+        if (m_coordinator)
+            with.m_out.emplace_back(
+                log_line{log_level::warning, "leadership_lost", {}});
+        m_coordinator.reset();
+        // Their entries ask the next leader; the outcome of a change that was
+        // not committed is not known here.
+        m_operators.clear();
+        return;
+    }
+    if (m_coordinator || m_applied_term != m_replica.term() ||
+        !m_replica.has_quorum(with.m_now))
+        return;
+    m_coordinator.emplace(m_settings, with);
+    with.m_out.emplace_back(
+        log_line{log_level::info,
+                 "leadership_taken",
+                 {{"term", std::to_string(m_replica.term())}}});
+    broadcast(with);
+}
+
+auto control::compact(control_context const& with) -> void
+{
+    if (m_applied < m_snapshot + m_settings.m_snapshot_interval)
+        return;
+    m_snapshot = m_applied;
+    m_replica.compact(m_applied, m_codec.m_encode(m_state.image()), with.m_out);
+}
+
+auto control::identity() const -> node_id
+{
+    return m_replica.identity();
+}
+
+auto control::cluster() const -> std::uint64_t
+{
+    return m_replica.cluster();
+}
+
+auto control::is_leading(time_point now) const -> bool
+{
+    return m_coordinator.has_value() && m_replica.has_quorum(now);
+}
+
+auto control::next_deadline(time_point now) const -> time_point
+{
+    auto const log = m_replica.next_deadline();
+    return m_coordinator ? std::min(log, m_coordinator->next_deadline(now))
+                         : log;
+}
+
+auto control::state() const -> control_state const&
+{
+    return m_state;
+}
+
+auto control::log() const -> replica const&
+{
+    return m_replica;
+}
+
+auto control::leader_work() const -> coordinator const*
+{
+    return m_coordinator ? &*m_coordinator : nullptr;
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/control.hpp
@@ -0,0 +1,107 @@
+#ifndef HICKORYLATCH_CORE_CONTROL_HPP
+#define HICKORYLATCH_CORE_CONTROL_HPP
+
+#include "core/control_state.hpp"
+#include "core/coordinator.hpp"
+#include "core/effect.hpp"
+#include "core/random_source.hpp"
+#include "core/replica.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickorylatch::core
+{
+
+/// Turns the applied state into bytes for snapshots and back. The codec lives
+/// outside of the core.
+struct image_codec
+{
+    std::string (*m_encode)(control_image const&) = nullptr;
+    /// Empty if the bytes are not an image.
+    std::optional<control_image> (*m_decode)(std::string_view) = nullptr;
+};
+
+/// One control replica: its log, the applied state and, while it leads, the
+/// coordinator.
+class control
+{
+public:
+    control(control_settings settings, replica_settings log_settings,
+            recovered_state recovered, image_codec codec, std::string address);
+
+    auto start(time_point now, std::uint64_t seed, effects& out) -> void;
+    auto connected(time_point now, hello const& peer, random_source& random,
+                   effects& out) -> void;
+    auto disconnected(time_point now, node_id peer, random_source& random,
+                      effects& out) -> void;
+    auto receive(time_point now, node_id from, message const& incoming,
+                 random_source& random, effects& out) -> void;
+    auto arrived(time_point now, operator_arrived const& request,
+                 random_source& random, effects& out) -> void;
+    auto synced(time_point now, log_synced const& done, random_source& random,
+                effects& out) -> void;
+    auto saved(snapshot_saved const& done) -> void;
+    auto clock(clock_read const& reading) -> void;
+    auto tick(time_point now, random_source& random, effects& out) -> void;
+
+    [[nodiscard]] auto identity() const -> node_id;
+    [[nodiscard]] auto cluster() const -> std::uint64_t;
+    [[nodiscard]] auto is_leading(time_point now) const -> bool;
+    [[nodiscard]] auto next_deadline(time_point now) const -> time_point;
+    [[nodiscard]] auto state() const -> control_state const&;
+    [[nodiscard]] auto log() const -> replica const&;
+    /// Null unless this replica leads.
+    [[nodiscard]] auto leader_work() const -> coordinator const*;
+
+private:
+    struct operator_wait
+    {
+        /// `no_node` for an operator of this process.
+        node_id m_entry = no_node;
+        std::uint64_t m_sequence = 0;
+    };
+
+    [[nodiscard]] auto context(time_point now, random_source& random,
+                               effects& out) -> control_context;
+    auto from_entry(control_context const& with, node_id from,
+                    message const& incoming) -> bool;
+    auto operate(control_context const& with, operator_wait who,
+                 operation const& asked) -> void;
+    auto propose_change(control_context const& with, operator_wait who,
+                        std::string const& request_id, command change) -> void;
+    auto found(control_context const& with, operator_wait who,
+               found_control_group const& order) -> void;
+    auto answer_operator(effects& out, operator_wait who, operate_result result)
+        -> void;
+    auto settle(control_context const& with) -> void;
+    auto apply(control_context const& with, log_entry const& entry) -> void;
+    auto broadcast(control_context const& with) -> void;
+    auto follow_leadership(control_context const& with) -> void;
+    auto compact(control_context const& with) -> void;
+
+    control_settings m_settings;
+    replica m_replica;
+    control_state m_state;
+    image_codec m_codec;
+    std::string m_address;
+    std::optional<coordinator> m_coordinator;
+    /// Term whose first entry is applied; the leader of it knows everything.
+    term_number m_applied_term = 0;
+    log_index m_applied = 0;
+    log_index m_snapshot = 0;
+    unix_milliseconds m_wall = 0;
+    std::map<node_id, hello> m_peers;
+    std::multimap<std::string, operator_wait> m_operators;
+};
+
+/// JSON text with what an operator asked to see.
+[[nodiscard]] auto status_document(control const& shown, time_point now,
+                                   std::string_view subject) -> std::string;
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/control_state.cpp
@@ -0,0 +1,210 @@
+#include "core/control_state.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// A week of resends at 14,000 changes a day.
+constexpr auto kept_outcomes = std::size_t{100'000};
+
+} // namespace
+
+control_state::control_state(control_image image)
+    : m_configuration{std::move(image.m_configuration)}
+{
+    std::ranges::stable_sort(image.m_submissions, {},
+                             &submission_record::m_ended_at);
+    for (auto& record : image.m_submissions)
+        insert(std::move(record));
+    for (auto& outcome : image.m_outcomes)
+        remember(std::move(outcome));
+    for (auto const& mark : image.m_forgotten)
+        m_forgotten[mark.m_customer] = mark.m_submitted_at;
+}
+
+auto control_state::apply(log_entry const& entry) -> void
+{
+    std::visit(
+        [this](auto const& command)
+        {
+            on(command);
+        },
+        entry.m_command);
+}
+
+auto control_state::image() const -> control_image
+{
+    auto result = control_image{};
+    result.m_configuration = m_configuration;
+    for (auto const& [origin, record] : m_submissions)
+        result.m_submissions.push_back(record);
+    for (auto const& request_id : m_outcome_order)
+        result.m_outcomes.push_back(m_outcomes.at(request_id));
+    for (auto const& [customer, submitted_at] : m_forgotten)
+        result.m_forgotten.push_back({customer, submitted_at});
+    return result;
+}
+
+auto control_state::config() const -> configuration const&
+{
+    return m_configuration;
+}
+
+auto control_state::find(origin_id origin) const -> submission_record const*
+{
+    auto const found = m_submissions.find(origin);
+    return found == m_submissions.end() ? nullptr : &found->second;
+}
+
+auto control_state::find(std::string_view customer, std::string_view key) const
+    -> submission_record const*
+{
+    auto const found = m_keys.find({std::string{customer}, std::string{key}});
+    return found == m_keys.end() ? nullptr : find(found->second);
+}
+
+auto control_state::outcome(std::string const& request_id) const
+    -> operator_outcome const*
+{
+    auto const found = m_outcomes.find(request_id);
+    return found == m_outcomes.end() ? nullptr : &found->second;
+}
+
+auto control_state::is_forgotten(std::string const& customer,
+                                 unix_milliseconds submitted_at) const -> bool
+{
+    auto const found = m_forgotten.find(customer);
+    return found != m_forgotten.end() && submitted_at <= found->second;
+}
+
+auto control_state::submissions() const
+    -> std::map<origin_id, submission_record> const&
+{
+    return m_submissions;
+}
+
+auto control_state::oldest_end() const -> unix_milliseconds
+{
+    return m_ended.empty() ? 0 : m_ended.front().first;
+}
+
+auto control_state::on(begin_term const&) -> void
+{
+}
+
+auto control_state::on(accept_submission const& accepted) -> void
+{
+    auto const& work = accepted.m_submission;
+    // A leader may commit what an earlier one left behind after the same key
+    // was accepted again; the first one counts.
+    if (find(work.m_customer, work.m_key) != nullptr ||
+        is_forgotten(work.m_customer, work.m_submitted_at))
+        return;
+    auto record = submission_record{};
+    record.m_origin = accepted.m_origin;
+    record.m_submission = work;
+    record.m_allotted = accepted.m_allotted;
+    record.m_accepted_at = accepted.m_accepted_at;
+    insert(std::move(record));
+}
+
+auto control_state::on(reallot const& moved) -> void
+{
+    auto const found = m_submissions.find(moved.m_origin);
+    if (found == m_submissions.end() || found->second.m_has_ended)
+        return;
+    auto& allotted = found->second.m_allotted;
+    for (auto const& [task, agent] : moved.m_allotments)
+    {
+        if (task < allotted.size())
+            allotted[task] = agent;
+    }
+}
+
+auto control_state::on(end_submission const& ended) -> void
+{
+    auto const found = m_submissions.find(ended.m_origin);
+    if (found == m_submissions.end() || found->second.m_has_ended)
+        return;
+    auto& record = found->second;
+    record.m_has_ended = true;
+    record.m_verdict = ended.m_verdict;
+    record.m_answers = ended.m_answers;
+    record.m_ended_at = ended.m_ended_at;
+    // Only the digest is needed to recognise a resend.
+    record.m_submission.m_tasks.clear();
+    record.m_submission.m_extra.clear();
+    record.m_allotted.clear();
+    m_ended.emplace_back(record.m_ended_at, record.m_origin);
+}
+
+auto control_state::on(change_configuration const& change) -> void
+{
+    if (outcome(change.m_request_id) != nullptr)
+        return;
+    auto result = operator_outcome{change.m_request_id, {}, 0};
+    if (change.m_expected == m_configuration.m_version)
+    {
+        m_configuration = change.m_configuration;
+        m_configuration.m_version = change.m_expected + 1;
+        result.m_verdict.m_run = run_state::ran;
+    }
+    else
+        result.m_verdict = refused(reason::version_conflict);
+    result.m_version = m_configuration.m_version;
+    remember(std::move(result));
+}
+
+auto control_state::on(expire_keys const& limit) -> void
+{
+    while (!m_ended.empty() && m_ended.front().first < limit.m_before)
+    {
+        auto const found = m_submissions.find(m_ended.front().second);
+        m_ended.pop_front();
+        if (found == m_submissions.end())
+            continue;
+        auto const& work = found->second.m_submission;
+        auto& mark = m_forgotten[work.m_customer];
+        mark = std::max(mark, work.m_submitted_at);
+        m_keys.erase({work.m_customer, work.m_key});
+        m_submissions.erase(found);
+    }
+}
+
+auto control_state::on(change_membership const& change) -> void
+{
+    if (outcome(change.m_request_id) != nullptr)
+        return;
+    auto result = operator_outcome{change.m_request_id, {}, 0};
+    result.m_verdict.m_run = run_state::ran;
+    result.m_version = m_configuration.m_version;
+    remember(std::move(result));
+}
+
+auto control_state::remember(operator_outcome outcome) -> void
+{
+    m_outcome_order.push_back(outcome.m_request_id);
+    auto request_id = outcome.m_request_id;
+    m_outcomes.emplace(std::move(request_id), std::move(outcome));
+    if (m_outcome_order.size() <= kept_outcomes)
+        return;
+    m_outcomes.erase(m_outcome_order.front());
+    m_outcome_order.pop_front();
+}
+
+auto control_state::insert(submission_record record) -> void
+{
+    auto const origin = record.m_origin;
+    m_keys[{record.m_submission.m_customer, record.m_submission.m_key}] =
+        origin;
+    if (record.m_has_ended)
+        m_ended.emplace_back(record.m_ended_at, origin);
+    m_submissions.emplace(origin, std::move(record));
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/control_state.hpp
@@ -0,0 +1,114 @@
+#ifndef HICKORYLATCH_CORE_CONTROL_STATE_HPP
+#define HICKORYLATCH_CORE_CONTROL_STATE_HPP
+
+#include "core/command.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+/// One accepted submission and, once it ended, its answer.
+struct submission_record
+{
+    origin_id m_origin = 0;
+    submission m_submission;
+    std::vector<node_id> m_allotted;
+    unix_milliseconds m_accepted_at = 0;
+    bool m_has_ended = false;
+    verdict m_verdict;
+    std::vector<task_answer> m_answers;
+    unix_milliseconds m_ended_at = 0;
+};
+BOOST_DESCRIBE_STRUCT(submission_record, (),
+                      (m_origin, m_submission, m_allotted, m_accepted_at,
+                       m_has_ended, m_verdict, m_answers, m_ended_at))
+
+/// What an operator's request came to, for resends of it.
+struct operator_outcome
+{
+    std::string m_request_id;
+    verdict m_verdict;
+    configuration_version m_version = 0;
+};
+BOOST_DESCRIBE_STRUCT(operator_outcome, (),
+                      (m_request_id, m_verdict, m_version))
+
+/// Submissions of this customer up to this time may have been forgotten.
+struct forgotten_until
+{
+    std::string m_customer;
+    unix_milliseconds m_submitted_at = 0;
+};
+BOOST_DESCRIBE_STRUCT(forgotten_until, (), (m_customer, m_submitted_at))
+
+/// The whole applied state as one aggregate, for snapshots.
+struct control_image
+{
+    configuration m_configuration;
+    std::vector<submission_record> m_submissions;
+    std::vector<operator_outcome> m_outcomes;
+    std::vector<forgotten_until> m_forgotten;
+};
+BOOST_DESCRIBE_STRUCT(control_image, (),
+                      (m_configuration, m_submissions, m_outcomes, m_forgotten))
+
+/// What the committed commands add up to. The same on every replica.
+class control_state
+{
+public:
+    control_state() = default;
+    explicit control_state(control_image image);
+
+    /// Applies the next committed entry.
+    auto apply(log_entry const& entry) -> void;
+    [[nodiscard]] auto image() const -> control_image;
+
+    [[nodiscard]] auto config() const -> configuration const&;
+    /// Null if there is none.
+    [[nodiscard]] auto find(origin_id origin) const -> submission_record const*;
+    [[nodiscard]] auto find(std::string_view customer,
+                            std::string_view key) const
+        -> submission_record const*;
+    [[nodiscard]] auto outcome(std::string const& request_id) const
+        -> operator_outcome const*;
+    /// True if a submission of this time could have been forgotten.
+    [[nodiscard]] auto is_forgotten(std::string const& customer,
+                                    unix_milliseconds submitted_at) const
+        -> bool;
+    [[nodiscard]] auto submissions() const
+        -> std::map<origin_id, submission_record> const&;
+    /// End time of the submission that ended first; 0 if none did.
+    [[nodiscard]] auto oldest_end() const -> unix_milliseconds;
+
+private:
+    auto on(begin_term const&) -> void;
+    auto on(accept_submission const& accepted) -> void;
+    auto on(reallot const& moved) -> void;
+    auto on(end_submission const& ended) -> void;
+    auto on(change_configuration const& change) -> void;
+    auto on(expire_keys const& limit) -> void;
+    auto on(change_membership const& change) -> void;
+
+    auto remember(operator_outcome outcome) -> void;
+    auto insert(submission_record record) -> void;
+
+    configuration m_configuration;
+    std::map<origin_id, submission_record> m_submissions;
+    std::map<std::pair<std::string, std::string>, origin_id> m_keys;
+    std::deque<std::pair<unix_milliseconds, origin_id>> m_ended;
+    std::unordered_map<std::string, operator_outcome> m_outcomes;
+    std::deque<std::string> m_outcome_order;
+    std::map<std::string, unix_milliseconds> m_forgotten;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/coordinator.cpp
@@ -0,0 +1,470 @@
+#include "core/coordinator.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Clocks of clients may be ahead by this much.
+constexpr auto clock_tolerance_ms = unix_milliseconds{5LL * 60 * 1000};
+constexpr auto full_table_retry_ms = std::uint32_t{60'000};
+
+auto initial_deadline(control_context const& with, submission const& work)
+    -> time_point
+{
+    return work.m_deadline_ms == 0
+               ? never
+               : with.m_now + std::chrono::milliseconds{work.m_deadline_ms};
+}
+
+auto priority_of(control_context const& with, submission const& work)
+    -> priority
+{
+    if (work.m_priority)
+        return *work.m_priority;
+    auto const* owner = find_customer(with.m_state.config(), work.m_customer);
+    return owner == nullptr ? priority{0} : owner->m_priority;
+}
+
+} // namespace
+
+coordinator::coordinator(control_settings const& settings,
+                         control_context const& with)
+    : m_settings{settings}, m_term{with.m_replica.term()}, m_began{with.m_now}
+{
+    m_dispatcher.apply(with.m_state.config());
+    recover(with);
+}
+
+auto coordinator::recover(control_context const& with) -> void
+{
+    for (auto const& [origin, record] : with.m_state.submissions())
+    {
+        if (record.m_has_ended)
+            continue;
+        auto& work = m_live[origin];
+        work.m_origin = origin;
+        work.m_submission = record.m_submission;
+        work.m_priority = priority_of(with, record.m_submission);
+        work.m_arrived = with.m_now;
+        work.m_is_proposed = true;
+        work.m_is_committed = true;
+        // The time already spent is not known; the deadline counts anew.
+        work.m_deadline = initial_deadline(with, record.m_submission);
+        for (auto const agent : record.m_allotted)
+        {
+            work.m_tasks.push_back({task_phase::unknown, agent, {}, 0, 0, {}});
+            m_expected.insert(agent);
+        }
+        work.m_remaining = static_cast<std::uint32_t>(work.m_tasks.size());
+        m_keys[{work.m_submission.m_customer, work.m_submission.m_key}] =
+            origin;
+    }
+}
+
+auto coordinator::submit(control_context const& with, node_id from,
+                         core::submit const& request) -> void
+{
+    auto const who = waiter{from, request.m_sequence, request.m_sent_at};
+    // A resend over a new link to the same leader joins what it began.
+    if (auto const known = m_waiting.find({from, request.m_sequence});
+        known != m_waiting.end())
+        return;
+    if (join(with, request, who))
+        return;
+    auto const& work = request.m_submission;
+    if (auto const why = refusal(with, work))
+    {
+        answer(with, who, *why, {});
+        return;
+    }
+    auto const* target = find_service(with.m_state.config(), work.m_service);
+    auto const is_volatile = work.m_kind == submission_kind::request &&
+                             is_idempotent(*target, work.m_path);
+    auto& live = add_live(with, request, who, is_volatile);
+    if (work.m_kind == submission_kind::job)
+        accept_job(with, live);
+    else
+        enqueue(with, live, 0, no_node);
+}
+
+auto coordinator::join(control_context const& with, core::submit const& request,
+                       waiter const& who) -> bool
+{
+    auto const& work = request.m_submission;
+    if (work.m_key.empty())
+        return false;
+    auto const conflict = refused(reason::key_conflict,
+                                  "the key was used for another submission");
+    if (auto const found = m_keys.find({work.m_customer, work.m_key});
+        found != m_keys.end())
+    {
+        auto& live = m_live.at(found->second);
+        if (live.m_submission.m_digest != work.m_digest)
+            answer(with, who, conflict, {});
+        else if (live.m_has_ended && live.m_verdict.m_run == run_state::ran)
+        {
+            auto answers = std::vector<task_answer>{};
+            for (auto const& task : live.m_tasks)
+                answers.push_back(task.m_answer);
+            answer(with, who, live.m_verdict, answers);
+        }
+        else
+        {
+            live.m_waiters.push_back(who);
+            m_waiting[{who.m_entry, who.m_sequence}] = live.m_origin;
+        }
+        return true;
+    }
+    auto const* record = with.m_state.find(work.m_customer, work.m_key);
+    if (record == nullptr)
+        return false;
+    if (record->m_submission.m_digest != work.m_digest)
+        answer(with, who, conflict, {});
+    else
+        answer(with, who, record->m_verdict, record->m_answers);
+    return true;
+}
+
+auto coordinator::refusal(control_context const& with,
+                          submission const& work) const
+    -> std::optional<verdict>
+{
+    auto const& config = with.m_state.config();
+    if (find_customer(config, work.m_customer) == nullptr)
+        return refused(reason::unknown_customer, work.m_customer);
+    auto const is_request = work.m_kind == submission_kind::request;
+    auto const* target = find_service(config, work.m_service);
+    if (is_request && target == nullptr)
+        return refused(reason::unknown_service, work.m_service);
+    if (work.m_tasks.empty())
+        return refused(reason::invalid, "a job needs at least one task");
+    if (is_request && is_idempotent(*target, work.m_path))
+        return std::nullopt;
+    if (work.m_key.empty())
+        return refused(reason::invalid, "an idempotency key is required");
+    if (work.m_submitted_at == 0)
+        return refused(reason::missing_submitted_at);
+    if (work.m_submitted_at > with.m_wall + clock_tolerance_ms)
+        return refused(reason::invalid, "submitted_at lies in the future");
+    if (with.m_state.is_forgotten(work.m_customer, work.m_submitted_at))
+        return uncertain(reason::key_forgotten,
+                         "submissions of that time are no longer known");
+    if (with.m_state.submissions().size() >= m_settings.m_key_limit)
+        return refused(reason::keys_full, {}, full_table_retry_ms);
+    return std::nullopt;
+}
+
+auto coordinator::add_live(control_context const& with,
+                           core::submit const& request, waiter const& who,
+                           bool is_volatile) -> live_submission&
+{
+    auto origin = (m_term << origin_counter_bits) | ++m_counter;
+    if (is_volatile)
+        origin |= volatile_origin;
+    auto& work = m_live[origin];
+    work.m_origin = origin;
+    work.m_submission = request.m_submission;
+    work.m_waiters.push_back(who);
+    work.m_tasks.resize(request.m_submission.m_tasks.size());
+    work.m_remaining = static_cast<std::uint32_t>(work.m_tasks.size());
+    work.m_priority = priority_of(with, work.m_submission);
+    work.m_arrived = with.m_now;
+    work.m_deadline = initial_deadline(with, work.m_submission);
+    m_waiting[{who.m_entry, who.m_sequence}] = origin;
+    if (!is_volatile)
+        m_keys[{work.m_submission.m_customer, work.m_submission.m_key}] =
+            origin;
+    return work;
+}
+
+auto coordinator::accept_job(control_context const& with, live_submission& work)
+    -> void
+{
+    auto const allotted = m_dispatcher.allot(work.m_submission.m_tasks);
+    if (allotted.empty())
+    {
+        end(with, work,
+            refused(reason::no_capacity, "a task fits no announced worker"));
+        return;
+    }
+    for (auto task = std::size_t{0}; task < allotted.size(); ++task)
+    {
+        work.m_tasks[task].m_agent = allotted[task];
+        work.m_tasks[task].m_phase = task_phase::committing;
+    }
+    work.m_is_proposed = true;
+    with.m_replica.propose(accept_submission{work.m_origin, work.m_submission,
+                                             allotted, with.m_wall});
+}
+
+auto coordinator::enqueue(control_context const& with, live_submission& work,
+                          std::uint32_t task, node_id bound) -> bool
+{
+    auto const& wanted = work.m_submission.m_tasks[task];
+    auto item = work_item{};
+    item.m_attempt = {work.m_origin, task};
+    item.m_service = work.m_submission.m_kind == submission_kind::job
+                         ? std::string{worker_service}
+                         : work.m_submission.m_service;
+    item.m_customer = work.m_submission.m_customer;
+    item.m_priority = work.m_priority;
+    item.m_deadline = work.m_deadline;
+    item.m_cores = wanted.m_cores;
+    item.m_memory_mb = wanted.m_memory_mb;
+    item.m_accelerators = wanted.m_accelerators;
+    item.m_run_time = std::chrono::milliseconds{wanted.m_run_time_ms};
+    // Only a committed allotment binds a task to one agent.
+    if (work.m_is_committed)
+        item.m_allotted = bound;
+    work.m_tasks[task].m_phase = task_phase::waiting;
+    auto const why = m_dispatcher.enqueue(with.m_now, std::move(item));
+    if (!why)
+        return true;
+    fail(with, work, why->m_reason, why->m_detail, why->m_retry_after_ms);
+    return false;
+}
+
+auto coordinator::dispatch(control_context const& with) -> void
+{
+    while (auto const where = m_dispatcher.next(with.m_now))
+        place(with, *where);
+}
+
+auto coordinator::place(control_context const& with, placement const& where)
+    -> void
+{
+    auto& work = m_live.at(where.m_attempt.m_origin);
+    auto const number = where.m_attempt.m_task;
+    auto& task = work.m_tasks[number];
+    auto const is_allotted =
+        work.m_is_committed && task.m_agent == where.m_agent;
+    task.m_agent = where.m_agent;
+    if (is_volatile(where.m_attempt) || is_allotted)
+    {
+        send_start(with, work, number);
+        return;
+    }
+    task.m_phase = task_phase::committing;
+    if (work.m_is_committed)
+    {
+        with.m_replica.propose(
+            core::reallot{work.m_origin, {{number, where.m_agent}}});
+        return;
+    }
+    work.m_is_proposed = true;
+    with.m_replica.propose(accept_submission{
+        work.m_origin, work.m_submission, {where.m_agent}, with.m_wall});
+}
+
+auto coordinator::send_start(control_context const& with, live_submission& work,
+                             std::uint32_t number) -> void
+{
+    auto& task = work.m_tasks[number];
+    auto const& link = m_agents.at(task.m_agent);
+    auto order = start{};
+    order.m_term = m_term;
+    order.m_attempt = {work.m_origin, number};
+    order.m_service = work.m_submission.m_service;
+    order.m_path = work.m_submission.m_path;
+    order.m_task = work.m_submission.m_tasks[number];
+    order.m_trace = with.m_random.child_of(work.m_submission.m_trace);
+    order.m_renewed = grant(with, link.m_last_sent_at);
+    if (work.m_deadline != never)
+    {
+        auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            work.m_deadline - with.m_now);
+        order.m_deadline_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
+    }
+    with.m_out.emplace_back(record_span{order.m_trace,
+                                        work.m_submission.m_trace.m_span,
+                                        "control.queue",
+                                        work.m_arrived,
+                                        with.m_now,
+                                        {{"agent", link.m_info.m_name}}});
+    with.m_out.emplace_back(observe_metric{
+        "hickorylatch_queue_seconds",
+        {{"service", work.m_submission.m_service},
+         {"priority", std::to_string(work.m_priority)}},
+        std::chrono::duration<double>(with.m_now - work.m_arrived).count()});
+    with.m_out.emplace_back(observe_metric{
+        "hickorylatch_starts_total", {{"service", link.m_info.m_service}}});
+    with.m_out.emplace_back(send{task.m_agent, std::move(order)});
+    task.m_phase = task_phase::sent;
+    task.m_sent_at = with.m_now;
+    if (task.m_retries == 0)
+        ++m_first_starts;
+}
+
+auto coordinator::committed(control_context const& with, log_entry const& entry)
+    -> void
+{
+    if (auto const* accepted = std::get_if<accept_submission>(&entry.m_command))
+        on_accepted(with, accepted->m_origin);
+    else if (auto const* ended = std::get_if<end_submission>(&entry.m_command))
+        on_ended(with, ended->m_origin);
+    else if (auto const* moved = std::get_if<core::reallot>(&entry.m_command))
+        on_moved(with, *moved);
+    else if (std::holds_alternative<change_configuration>(entry.m_command))
+        m_dispatcher.apply(with.m_state.config());
+}
+
+auto coordinator::on_accepted(control_context const& with, origin_id origin)
+    -> void
+{
+    auto const found = m_live.find(origin);
+    if (found == m_live.end())
+        return;
+    auto& work = found->second;
+    work.m_is_committed = true;
+    if (work.m_has_ended)
+    {
+        propose_end(with, work, {});
+        return;
+    }
+    if (work.m_submission.m_kind == submission_kind::request)
+    {
+        start_committed(with, work, 0);
+        return;
+    }
+    for (auto task = 0U; task < work.m_tasks.size(); ++task)
+    {
+        if (work.m_tasks[task].m_phase == task_phase::committing &&
+            !enqueue(with, work, task, work.m_tasks[task].m_agent))
+            return;
+    }
+}
+
+auto coordinator::on_moved(control_context const& with,
+                           core::reallot const& moved) -> void
+{
+    auto const found = m_live.find(moved.m_origin);
+    if (found == m_live.end() || found->second.m_has_ended)
+        return;
+    for (auto const& [task, agent] : moved.m_allotments)
+    {
+        auto const& waiting = found->second.m_tasks[task];
+        if (waiting.m_phase == task_phase::committing &&
+            waiting.m_agent == agent)
+            start_committed(with, found->second, task);
+    }
+}
+
+auto coordinator::start_committed(control_context const& with,
+                                  live_submission& work, std::uint32_t task)
+    -> void
+{
+    if (work.m_tasks[task].m_phase != task_phase::committing)
+        return;
+    // The agent may have been given up while its allotment was committed.
+    if (m_agents.contains(work.m_tasks[task].m_agent))
+        send_start(with, work, task);
+    else
+        enqueue(with, work, task, no_node);
+}
+
+auto coordinator::on_ended(control_context const& with, origin_id origin)
+    -> void
+{
+    auto const found = m_live.find(origin);
+    if (found == m_live.end())
+        return;
+    auto& work = found->second;
+    for (auto task = 0U; task < work.m_tasks.size(); ++task)
+    {
+        auto const link = m_agents.find(work.m_tasks[task].m_agent);
+        if (link != m_agents.end())
+            link->second.m_to_forget.push_back({origin, task});
+    }
+    for (auto const& who : std::exchange(work.m_waiters, {}))
+        answer(with, who, work.m_verdict, {});
+    m_keys.erase({work.m_submission.m_customer, work.m_submission.m_key});
+    m_live.erase(found);
+}
+
+auto coordinator::answer(control_context const& with, waiter const& who,
+                         verdict const& outcome,
+                         std::span<task_answer const> answers) -> void
+{
+    auto result = submit_result{who.m_sequence, outcome, {}, {}};
+    if (outcome.m_run == run_state::ran)
+        result.m_answers.assign(answers.begin(), answers.end());
+    result.m_renewed = grant(with, who.m_sent_at);
+    with.m_out.emplace_back(send{who.m_entry, std::move(result)});
+    m_waiting.erase({who.m_entry, who.m_sequence});
+}
+
+auto coordinator::grant(control_context const& with, time_point sent_at) const
+    -> core::renewed
+{
+    return {sent_at, m_term, m_settings.m_lease,
+            with.m_state.config().m_version};
+}
+
+auto coordinator::end(control_context const& with, live_submission& work,
+                      verdict outcome) -> void
+{
+    if (work.m_has_ended)
+        return;
+    work.m_has_ended = true;
+    work.m_verdict = outcome;
+    auto answers = std::vector<task_answer>{};
+    for (auto number = 0U; number < work.m_tasks.size(); ++number)
+    {
+        auto& task = work.m_tasks[number];
+        if (task.m_phase == task_phase::done)
+            answers.push_back(task.m_answer);
+        else
+            release(with, work, number);
+    }
+    if (!work.m_is_proposed)
+    {
+        for (auto const& who : std::exchange(work.m_waiters, {}))
+            answer(with, who, outcome, answers);
+        m_keys.erase({work.m_submission.m_customer, work.m_submission.m_key});
+        m_live.erase(work.m_origin);
+        return;
+    }
+    // A failure is told only once its end is committed: until then a later
+    // leader could still run the rest. A complete answer stays available from
+    // the agents, so its commit is not waited for.
+    if (outcome.m_run == run_state::ran)
+    {
+        for (auto const& who : std::exchange(work.m_waiters, {}))
+            answer(with, who, outcome, answers);
+    }
+    else
+        answers.clear();
+    if (work.m_is_committed)
+        propose_end(with, work, std::move(answers));
+}
+
+auto coordinator::release(control_context const& with, live_submission& work,
+                          std::uint32_t number) -> void
+{
+    auto const& task = work.m_tasks[number];
+    auto const attempt = attempt_id{work.m_origin, number};
+    if (task.m_phase == task_phase::waiting)
+        m_dispatcher.withdraw(attempt);
+    else if (task.m_phase == task_phase::committing)
+        m_dispatcher.finish(with.m_now, attempt, attempt_outcome::not_run);
+    else
+        with.m_out.emplace_back(
+            send{task.m_agent, stop_attempt{m_term, attempt}});
+}
+
+auto coordinator::propose_end(control_context const& with,
+                              live_submission const& work,
+                              std::vector<task_answer> answers) -> void
+{
+    with.m_replica.propose(end_submission{work.m_origin, work.m_verdict,
+                                          std::move(answers), with.m_wall});
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/entry.cpp
@@ -0,0 +1,336 @@
+#include "core/entry.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// The leader answers at the deadline itself; the entry only when that answer
+// does not come.
+constexpr auto answer_grace = std::chrono::milliseconds{500};
+constexpr auto operation_timeout = std::chrono::seconds{10};
+// Pause before another try after a replica said that it does not lead.
+constexpr auto leader_retry = std::chrono::milliseconds{50};
+// A job without a deadline may wait this long for its whole answer.
+constexpr auto job_timeout = std::chrono::hours{24};
+// Longest time without a leader in a failover, as a delay before a resend.
+constexpr auto failover_ms = std::uint32_t{2000};
+
+} // namespace
+
+auto entry::connected(hello const& peer) -> void
+{
+    // Messages on an older link to this peer may be lost.
+    if (peer.m_node == m_lease.leader())
+        disconnected(peer.m_node);
+}
+
+auto entry::disconnected(node_id peer) -> void
+{
+    if (peer != m_lease.leader())
+        return;
+    m_lease.lose_leader(peer);
+    for (auto& [sequence, request] : m_requests)
+        request.m_is_with_leader = false;
+    for (auto& [sequence, request] : m_operations)
+        request.m_is_with_leader = false;
+}
+
+auto entry::receive(time_point now, node_id from, message const& incoming,
+                    effects& out) -> void
+{
+    if (auto const* result = std::get_if<submit_result>(&incoming))
+        on(*result, from, now, out);
+    else if (auto const* done = std::get_if<operate_result>(&incoming))
+        on(*done, out);
+    else if (auto const* refusal = std::get_if<not_leader>(&incoming))
+    {
+        on(*refusal);
+        m_retry_at = std::min(m_retry_at, now + leader_retry);
+    }
+    else if (auto const* change = std::get_if<configuration_changed>(&incoming))
+        follow(now, from, *change, out);
+    else if (auto const* grant = std::get_if<renewed>(&incoming))
+    {
+        m_lease.extend(from, *grant);
+        forward(now, out);
+    }
+}
+
+auto entry::refusal(time_point now, submission const& work) const
+    -> std::optional<verdict>
+{
+    if (m_is_stopping)
+        return refused(reason::draining, {}, 1);
+    if (!m_lease.is_valid(now))
+        return refused(reason::lease_expired,
+                       "this entry has no current configuration", failover_ms);
+    if (find_customer(m_lease.config(), work.m_customer) == nullptr)
+        return refused(reason::unknown_customer, work.m_customer);
+    if (work.m_kind == submission_kind::job)
+        return std::nullopt;
+    auto const* target = find_service(m_lease.config(), work.m_service);
+    if (target == nullptr)
+        return refused(reason::unknown_service, work.m_service);
+    if (is_idempotent(*target, work.m_path))
+        return std::nullopt;
+    if (work.m_key.empty())
+        return refused(reason::invalid,
+                       "a non-idempotent request needs an idempotency key");
+    if (work.m_submitted_at == 0)
+        return refused(reason::missing_submitted_at);
+    return std::nullopt;
+}
+
+auto entry::arrived(time_point now, request_arrived const& request,
+                    random_source& random, effects& out) -> void
+{
+    auto const& work = request.m_submission;
+    auto const span = random.child_of(work.m_trace);
+    if (auto const why = refusal(now, work))
+    {
+        out.emplace_back(
+            reply{request.m_exchange, work.m_kind, *why, {}, span});
+        out.emplace_back(observe_metric{
+            "hickorylatch_refusals_total",
+            {{"verdict", "not_run"},
+             {"reason", std::string{to_string(why->m_reason)}}}});
+        return;
+    }
+    auto const sequence = ++m_sequence;
+    auto& pending = m_requests[sequence];
+    pending.m_exchange = request.m_exchange;
+    pending.m_submission = work;
+    pending.m_parent_span = work.m_trace.m_span;
+    pending.m_submission.m_trace = span;
+    pending.m_arrived = now;
+    if (work.m_kind == submission_kind::request && work.m_deadline_ms == 0)
+        pending.m_submission.m_deadline_ms =
+            find_service(m_lease.config(), work.m_service)
+                ->m_default_deadline_ms;
+    auto const limit = pending.m_submission.m_deadline_ms;
+    pending.m_deadline =
+        limit == 0 ? now + job_timeout
+                   : now + std::chrono::milliseconds{limit} + answer_grace;
+    m_exchanges[request.m_exchange] = sequence;
+    m_deadlines.emplace(pending.m_deadline, sequence);
+    forward(now, out);
+}
+
+auto entry::arrived(time_point now, operator_arrived const& request,
+                    effects& out) -> void
+{
+    auto const sequence = ++m_sequence;
+    auto& pending = m_operations[sequence];
+    pending.m_exchange = request.m_exchange;
+    pending.m_operation = request.m_operation;
+    pending.m_deadline = now + operation_timeout;
+    m_exchanges[request.m_exchange] = sequence;
+    m_deadlines.emplace(pending.m_deadline, sequence);
+    forward(now, out);
+}
+
+auto entry::abandoned(exchange_id exchange, effects& out) -> void
+{
+    auto const found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    auto const sequence = found->second;
+    m_exchanges.erase(found);
+    m_operations.erase(sequence);
+    auto const request = m_requests.find(sequence);
+    if (request == m_requests.end())
+        return;
+    if (request->second.m_was_sent && m_lease.leader() != no_node)
+        out.emplace_back(send{m_lease.leader(), cancel{sequence}});
+    m_requests.erase(request);
+}
+
+auto entry::tick(time_point now, effects& out) -> void
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
+    {
+        auto const sequence = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        if (auto const request = m_requests.find(sequence);
+            request != m_requests.end())
+        {
+            auto const was_sent = request->second.m_was_sent;
+            if (was_sent && m_lease.leader() != no_node)
+                out.emplace_back(send{m_lease.leader(), cancel{sequence}});
+            finish(now, sequence,
+                   was_sent ? uncertain(reason::deadline)
+                            : refused(reason::deadline),
+                   {}, out);
+        }
+        if (auto const found = m_operations.find(sequence);
+            found != m_operations.end())
+        {
+            auto result = operate_result{sequence, {}, 0, {}};
+            result.m_verdict = found->second.m_was_sent
+                                   ? uncertain(reason::no_leader)
+                                   : refused(reason::no_leader);
+            on(result, out);
+        }
+    }
+    if (m_retry_at <= now)
+    {
+        m_retry_at = never;
+        forward(now, out);
+    }
+    m_lease.tick(now, out);
+}
+
+auto entry::stop() -> void
+{
+    m_is_stopping = true;
+}
+
+auto entry::is_idle() const -> bool
+{
+    return m_is_stopping && m_requests.empty() && m_operations.empty();
+}
+
+auto entry::has_lease(time_point now) const -> bool
+{
+    return m_lease.is_valid(now);
+}
+
+auto entry::is_stopping() const -> bool
+{
+    return m_is_stopping;
+}
+
+auto entry::next_deadline() const -> time_point
+{
+    auto const first = m_deadlines.empty() ? never : m_deadlines.begin()->first;
+    return std::min({first, m_retry_at, m_lease.next_deadline()});
+}
+
+auto entry::config() const -> configuration const&
+{
+    return m_lease.config();
+}
+
+auto entry::waiting() const -> std::size_t
+{
+    return m_requests.size();
+}
+
+auto entry::forward(time_point now, effects& out) -> void
+{
+    auto const leader = m_lease.leader();
+    if (leader == no_node)
+        return;
+    for (auto& [sequence, request] : m_requests)
+    {
+        if (request.m_is_with_leader)
+            continue;
+        request.m_is_with_leader = true;
+        request.m_was_sent = true;
+        auto message = submit{sequence, request.m_submission, now};
+        if (auto const limit = request.m_submission.m_deadline_ms; limit != 0)
+        {
+            // Only the time that is left counts for the leader.
+            auto const left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    request.m_deadline - answer_grace - now)
+                    .count();
+            message.m_submission.m_deadline_ms =
+                static_cast<std::uint32_t>(std::max<std::int64_t>(left, 1));
+        }
+        out.emplace_back(send{leader, std::move(message)});
+    }
+    for (auto& [sequence, request] : m_operations)
+    {
+        if (request.m_is_with_leader)
+            continue;
+        request.m_is_with_leader = true;
+        request.m_was_sent = true;
+        out.emplace_back(send{leader, operate{sequence, request.m_operation}});
+    }
+}
+
+auto entry::on(submit_result const& result, node_id from, time_point now,
+               effects& out) -> void
+{
+    m_lease.extend(from, result.m_renewed);
+    if (m_requests.contains(result.m_sequence))
+        finish(now, result.m_sequence, result.m_verdict, result.m_answers, out);
+    else
+        out.emplace_back(observe_metric{"hickorylatch_wasted_messages_total",
+                                        {{"kind", "late_answer"}}});
+}
+
+auto entry::on(operate_result const& result, effects& out) -> void
+{
+    auto const found = m_operations.find(result.m_sequence);
+    if (found == m_operations.end())
+        return;
+    out.emplace_back(reply_operator{found->second.m_exchange, result});
+    m_exchanges.erase(found->second.m_exchange);
+    m_operations.erase(found);
+}
+
+auto entry::on(not_leader const& refusal) -> void
+{
+    if (auto const found = m_requests.find(refusal.m_sequence);
+        found != m_requests.end())
+        found->second.m_is_with_leader = false;
+    if (auto const found = m_operations.find(refusal.m_sequence);
+        found != m_operations.end())
+        found->second.m_is_with_leader = false;
+}
+
+auto entry::follow(time_point now, node_id from,
+                   configuration_changed const& change, effects& out) -> void
+{
+    auto const is_new =
+        m_lease.leader() != from || m_lease.term() != change.m_term;
+    if (is_new && change.m_term >= m_lease.term())
+        disconnected(m_lease.leader());
+    if (!m_lease.follow(from, change.m_term, change.m_configuration))
+        return;
+    m_lease.tick(now, out);
+    forward(now, out);
+}
+
+auto entry::finish(time_point now, std::uint64_t sequence, verdict outcome,
+                   std::vector<task_answer> answers, effects& out) -> void
+{
+    auto const found = m_requests.find(sequence);
+    auto const& request = found->second;
+    auto const& work = request.m_submission;
+    auto const seconds =
+        std::chrono::duration<double>(now - request.m_arrived).count();
+    out.emplace_back(
+        record_span{work.m_trace,
+                    request.m_parent_span,
+                    "entry.submission",
+                    request.m_arrived,
+                    now,
+                    {{"customer", work.m_customer},
+                     {"service", work.m_service},
+                     {"verdict", std::string{to_string(outcome.m_run)}},
+                     {"reason", std::string{to_string(outcome.m_reason)}}}});
+    out.emplace_back(observe_metric{
+        "hickorylatch_response_seconds",
+        {{"service", work.m_service}, {"customer", work.m_customer}},
+        seconds});
+    if (outcome.m_run != run_state::ran)
+        out.emplace_back(observe_metric{
+            "hickorylatch_refusals_total",
+            {{"verdict", std::string{to_string(outcome.m_run)}},
+             {"reason", std::string{to_string(outcome.m_reason)}}}});
+    out.emplace_back(reply{request.m_exchange, work.m_kind, std::move(outcome),
+                           std::move(answers), work.m_trace});
+    m_exchanges.erase(request.m_exchange);
+    m_requests.erase(found);
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/entry.hpp
@@ -0,0 +1,89 @@
+#ifndef HICKORYLATCH_CORE_ENTRY_HPP
+#define HICKORYLATCH_CORE_ENTRY_HPP
+
+#include "core/effect.hpp"
+#include "core/lease.hpp"
+#include "core/random_source.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace hickorylatch::core
+{
+
+/// Takes callers' requests and operators' records, passes them to the control
+/// leader and answers each exchange once.
+class entry
+{
+public:
+    auto connected(hello const& peer) -> void;
+    auto disconnected(node_id peer) -> void;
+    auto receive(time_point now, node_id from, message const& incoming,
+                 effects& out) -> void;
+    auto arrived(time_point now, request_arrived const& request,
+                 random_source& random, effects& out) -> void;
+    auto arrived(time_point now, operator_arrived const& request, effects& out)
+        -> void;
+    auto abandoned(exchange_id exchange, effects& out) -> void;
+    auto tick(time_point now, effects& out) -> void;
+    auto stop() -> void;
+
+    /// True once a stop was asked for and no exchange is open.
+    [[nodiscard]] auto is_idle() const -> bool;
+    [[nodiscard]] auto has_lease(time_point now) const -> bool;
+    [[nodiscard]] auto is_stopping() const -> bool;
+    [[nodiscard]] auto next_deadline() const -> time_point;
+    [[nodiscard]] auto config() const -> configuration const&;
+    [[nodiscard]] auto waiting() const -> std::size_t;
+
+private:
+    struct pending_request
+    {
+        exchange_id m_exchange = 0;
+        submission m_submission;
+        std::string m_parent_span;
+        time_point m_arrived{0};
+        time_point m_deadline = never;
+        /// A leader may have taken it.
+        bool m_was_sent = false;
+        /// No need to send it again to the present leader.
+        bool m_is_with_leader = false;
+    };
+
+    struct pending_operation
+    {
+        exchange_id m_exchange = 0;
+        operation m_operation;
+        time_point m_deadline = never;
+        bool m_was_sent = false;
+        bool m_is_with_leader = false;
+    };
+
+    [[nodiscard]] auto refusal(time_point now, submission const& work) const
+        -> std::optional<verdict>;
+    auto forward(time_point now, effects& out) -> void;
+    auto on(submit_result const& result, node_id from, time_point now,
+            effects& out) -> void;
+    auto on(operate_result const& result, effects& out) -> void;
+    auto on(not_leader const& refusal) -> void;
+    auto follow(time_point now, node_id from,
+                configuration_changed const& change, effects& out) -> void;
+    auto finish(time_point now, std::uint64_t sequence, verdict outcome,
+                std::vector<task_answer> answers, effects& out) -> void;
+
+    lease m_lease;
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint64_t, pending_request> m_requests;
+    std::map<std::uint64_t, pending_operation> m_operations;
+    std::map<exchange_id, std::uint64_t> m_exchanges;
+    /// Deadlines of requests and operations, by sequence number.
+    std::multimap<time_point, std::uint64_t> m_deadlines;
+    time_point m_retry_at = never;
+    bool m_is_stopping = false;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -28,20 +28,26 @@
 /// Version of the configuration. Starts at 0, the empty configuration.
 using configuration_version = std::uint64_t;
 
+/// Number of a submission: the term of the leader that took it, then a counter,
+/// so that no two leaders give the same one.
+using origin_id = std::uint64_t;
+
+/// Bits of an origin that count within a term. The rest hold the term.
+inline constexpr auto origin_counter_bits = 40U;
+
 /// Names one task of one submission.
 struct attempt_id
 {
-    /// Log index of the acceptance, or a number with `volatile_origin` set for
-    /// a request that is not committed.
-    std::uint64_t m_origin = 0;
+    origin_id m_origin = 0;
     std::uint32_t m_task = 0;
 
     auto operator<=>(attempt_id const&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(attempt_id, (), (m_origin, m_task))
 
-/// Set in the origin of attempts that exist only in the leader's memory.
-inline constexpr auto volatile_origin = std::uint64_t{1} << 63;
+/// Set in the origin of idempotent requests, which are not committed and exist
+/// only in the leader's memory.
+inline constexpr auto volatile_origin = origin_id{1} << 63;
 
 [[nodiscard]] constexpr auto is_volatile(attempt_id attempt) -> bool
 {
--- /dev/null
+++ b/src/core/lease.cpp
@@ -0,0 +1,90 @@
+#include "core/lease.hpp"
+
+#include <algorithm>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Two lost renewals still leave a valid lease of 3 s.
+constexpr auto renewal_interval = std::chrono::milliseconds{1000};
+
+} // namespace
+
+auto lease::follow(node_id leader, term_number term,
+                   configuration const& config) -> bool
+{
+    if (term < m_term)
+        return false;
+    m_leader = leader;
+    m_term = term;
+    if (config.m_version > m_configuration.m_version)
+        m_configuration = config;
+    m_ask_at = time_point{0};
+    return true;
+}
+
+auto lease::extend(node_id from, renewed const& grant) -> void
+{
+    if (from != m_leader || grant.m_term != m_term ||
+        grant.m_version != m_configuration.m_version)
+        return;
+    auto const until = grant.m_sent_at + grant.m_lease;
+    m_expires_at = std::max(m_expires_at, until);
+    m_ask_at = std::max(m_ask_at, grant.m_sent_at + renewal_interval);
+}
+
+auto lease::lose_leader(node_id peer) -> void
+{
+    if (peer != m_leader)
+        return;
+    m_leader = no_node;
+    m_ask_at = never;
+}
+
+auto lease::tick(time_point now, effects& out) -> void
+{
+    if (m_leader == no_node || now < m_ask_at)
+        return;
+    out.emplace_back(send{m_leader, renew{now, 0, 0}});
+    asked(now);
+}
+
+auto lease::asked(time_point now) -> void
+{
+    m_ask_at = now + renewal_interval;
+}
+
+auto lease::is_valid(time_point now) const -> bool
+{
+    return now < m_expires_at;
+}
+
+auto lease::leader() const -> node_id
+{
+    return m_leader;
+}
+
+auto lease::term() const -> term_number
+{
+    return m_term;
+}
+
+auto lease::config() const -> configuration const&
+{
+    return m_configuration;
+}
+
+auto lease::next_deadline() const -> time_point
+{
+    return m_ask_at;
+}
+
+auto lease::expires_at() const -> time_point
+{
+    return m_expires_at;
+}
+
+} // namespace hickorylatch::core
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -36,20 +36,37 @@
     /// Identity of the control group; 0 if not known yet.
     std::uint64_t m_cluster = 0;
     std::string m_secret;
+    /// It has an entry or an agent, which serve by the configuration. A process
+    /// may be that and a control replica.
+    bool m_needs_configuration = false;
 };
 BOOST_DESCRIBE_STRUCT(hello, (),
-                      (m_node, m_role, m_name, m_address, m_cluster, m_secret))
+                      (m_node, m_role, m_name, m_address, m_cluster, m_secret,
+                       m_needs_configuration))
 
 // Entry and control leader.
 
+/// Extends a lease. Travels on its own or with another message.
+struct renewed
+{
+    /// Send time, by the holder's clock, of the message that this answers.
+    time_point m_sent_at{0};
+    term_number m_term = 0;
+    duration m_lease{0};
+    configuration_version m_version = 0;
+};
+BOOST_DESCRIBE_STRUCT(renewed, (), (m_sent_at, m_term, m_lease, m_version))
+
 /// A submission from an entry. The entry's sequence number names it in the
 /// answer and in a cancellation.
 struct submit
 {
     std::uint64_t m_sequence = 0;
     submission m_submission;
+    /// Send time by the entry's clock; asks for a longer lease.
+    time_point m_sent_at{0};
 };
-BOOST_DESCRIBE_STRUCT(submit, (), (m_sequence, m_submission))
+BOOST_DESCRIBE_STRUCT(submit, (), (m_sequence, m_submission, m_sent_at))
 
 /// The caller no longer waits.
 struct cancel
@@ -64,8 +81,10 @@
     verdict m_verdict;
     /// One answer for each task if it ran, else empty.
     std::vector<task_answer> m_answers;
+    renewed m_renewed;
 };
-BOOST_DESCRIBE_STRUCT(submit_result, (), (m_sequence, m_verdict, m_answers))
+BOOST_DESCRIBE_STRUCT(submit_result, (),
+                      (m_sequence, m_verdict, m_answers, m_renewed))
 
 /// The receiver does not lead. Nothing was done with the message it answers.
 struct not_leader
@@ -93,8 +112,17 @@
 BOOST_DESCRIBE_STRUCT(cancel_job, (), (m_request_id, m_customer, m_key))
 
 /// What an operator asks of the control leader.
+/// Founds the control group from this blank replica and the blank ones that it
+/// has links to. Asked of a control process itself.
+struct found_control_group
+{
+    /// Number of members, this one included.
+    std::uint32_t m_members = 0;
+};
+BOOST_DESCRIBE_STRUCT(found_control_group, (), (m_members))
+
 using operation = std::variant<query_status, change_configuration, cancel_job,
-                               change_membership>;
+                               change_membership, found_control_group>;
 
 struct operate
 {
@@ -152,20 +180,18 @@
     std::vector<attempt_id> m_running;
     /// Finished, and not yet forgotten at a leader's request.
     std::vector<attempt_id> m_finished;
+    time_point m_sent_at{0};
 };
-BOOST_DESCRIBE_STRUCT(announce, (), (m_agent, m_running, m_finished))
+BOOST_DESCRIBE_STRUCT(announce, (), (m_agent, m_running, m_finished, m_sent_at))
 
 /// Answers an announcement.
 struct welcome
 {
-    term_number m_term = 0;
-    /// Lease from the send time of the announcement.
-    duration m_lease{0};
+    renewed m_renewed;
     configuration m_configuration;
     std::vector<member> m_members;
 };
-BOOST_DESCRIBE_STRUCT(welcome, (),
-                      (m_term, m_lease, m_configuration, m_members))
+BOOST_DESCRIBE_STRUCT(welcome, (), (m_renewed, m_configuration, m_members))
 
 /// Orders an attempt. Repeating it to the same incarnation is safe.
 struct start
@@ -178,10 +204,11 @@
     /// Time left when it was sent, in milliseconds; 0 for none.
     std::uint32_t m_deadline_ms = 0;
     trace_context m_trace;
+    renewed m_renewed;
 };
 BOOST_DESCRIBE_STRUCT(start, (),
                       (m_term, m_attempt, m_service, m_path, m_task,
-                       m_deadline_ms, m_trace))
+                       m_deadline_ms, m_trace, m_renewed))
 
 /// The end of an attempt. With `not_run` the agent guarantees that it will
 /// never start this attempt.
@@ -190,8 +217,10 @@
     attempt_id m_attempt;
     verdict m_verdict;
     task_answer m_answer;
+    /// Send time by the agent's clock; asks for a longer lease.
+    time_point m_sent_at{0};
 };
-BOOST_DESCRIBE_STRUCT(finished, (), (m_attempt, m_verdict, m_answer))
+BOOST_DESCRIBE_STRUCT(finished, (), (m_attempt, m_verdict, m_answer, m_sent_at))
 
 /// Stops an attempt. Answered by `finished`; an attempt that was not started
 /// is answered `not_run` and refused from then on.
@@ -222,15 +251,8 @@
 BOOST_DESCRIBE_STRUCT(renew, (),
                       (m_sent_at, m_used_millicores, m_used_memory_mb))
 
-struct renewed
-{
-    time_point m_sent_at{0};
-    term_number m_term = 0;
-    duration m_lease{0};
-    configuration_version m_version = 0;
-};
-BOOST_DESCRIBE_STRUCT(renewed, (), (m_sent_at, m_term, m_lease, m_version))
-
+/// The configuration in force and the leader that vouches for it. Sent on each
+/// change and to each process that connects.
 struct configuration_changed
 {
     term_number m_term = 0;
--- /dev/null
+++ b/src/core/node.cpp
@@ -0,0 +1,216 @@
+#include "core/node.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+/// Passes each event on to the roles that it concerns.
+class event_router
+{
+public:
+    event_router(node& target, time_point now, effects& out)
+        : m_node{target}, m_now{now}, m_out{out}
+    {
+    }
+
+    auto operator()(started const& event) -> void
+    {
+        m_node.m_random.seed(event.m_seed);
+        if (m_node.m_control)
+            m_node.m_control->start(m_now, m_node.m_random.number(), m_out);
+        // A replica that leads serves the other role of its own process too.
+        if (m_node.m_control && (m_node.m_entry || m_node.m_agent))
+            (*this)(peer_connected{greeting(m_node)});
+    }
+
+    auto operator()(timer_fired const&) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->tick(m_now, m_out);
+        if (m_node.m_agent)
+            m_node.m_agent->tick(m_now, m_out);
+        if (m_node.m_control)
+            m_node.m_control->tick(m_now, m_node.m_random, m_out);
+    }
+
+    auto operator()(peer_connected const& event) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->connected(event.m_peer);
+        if (m_node.m_agent)
+            m_node.m_agent->connected(event.m_peer);
+        if (m_node.m_control)
+            m_node.m_control->connected(m_now, event.m_peer, m_node.m_random,
+                                        m_out);
+    }
+
+    auto operator()(peer_disconnected const& event) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->disconnected(event.m_peer);
+        if (m_node.m_agent)
+            m_node.m_agent->disconnected(event.m_peer);
+        if (m_node.m_control)
+            m_node.m_control->disconnected(m_now, event.m_peer, m_node.m_random,
+                                           m_out);
+    }
+
+    auto operator()(message_received const& event) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->receive(m_now, event.m_from, event.m_message,
+                                    m_out);
+        if (m_node.m_agent)
+            m_node.m_agent->receive(m_now, event.m_from, event.m_message,
+                                    m_node.m_random, m_out);
+        if (m_node.m_control)
+            m_node.m_control->receive(m_now, event.m_from, event.m_message,
+                                      m_node.m_random, m_out);
+    }
+
+    auto operator()(log_synced const& event) -> void
+    {
+        if (m_node.m_control)
+            m_node.m_control->synced(m_now, event, m_node.m_random, m_out);
+    }
+
+    auto operator()(snapshot_saved const& event) -> void
+    {
+        if (m_node.m_control)
+            m_node.m_control->saved(event);
+    }
+
+    auto operator()(request_arrived const& event) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->arrived(m_now, event, m_node.m_random, m_out);
+    }
+
+    auto operator()(request_abandoned const& event) -> void
+    {
+        if (m_node.m_entry)
+            m_node.m_entry->abandoned(event.m_exchange, m_out);
+    }
+
+    auto operator()(operator_arrived const& event) -> void
+    {
+        if (m_node.m_control)
+            m_node.m_control->arrived(m_now, event, m_node.m_random, m_out);
+        else if (m_node.m_entry)
+            m_node.m_entry->arrived(m_now, event, m_out);
+    }
+
+    auto operator()(call_finished const& event) -> void
+    {
+        if (m_node.m_agent)
+            m_node.m_agent->call_finished(m_now, event, m_out);
+    }
+
+    auto operator()(stop_requested const&) -> void
+    {
+        m_node.m_is_stopping = true;
+        if (m_node.m_entry)
+            m_node.m_entry->stop();
+        if (m_node.m_agent)
+            m_node.m_agent->stop(m_now, m_out);
+    }
+
+    auto operator()(clock_read const& event) -> void
+    {
+        if (m_node.m_control)
+            m_node.m_control->clock(event);
+    }
+
+private:
+    node& m_node;
+    time_point m_now;
+    effects& m_out;
+};
+
+/// Two roles of one process talk to each other without a link.
+auto deliver_to_self(node& target, time_point now, effects& out,
+                     std::size_t first) -> void
+{
+    for (auto index = first; index < out.size(); ++index)
+    {
+        auto* const sent = std::get_if<send>(&out[index]);
+        if (sent == nullptr || sent->m_to != target.m_id)
+            continue;
+        auto const looped =
+            message_received{target.m_id, std::move(sent->m_message)};
+        out.erase(out.begin() + static_cast<std::ptrdiff_t>(index));
+        --index;
+        event_router{target, now, out}(looped);
+    }
+}
+
+auto is_idle(node const& target, time_point now) -> bool
+{
+    return (!target.m_entry || target.m_entry->is_idle()) &&
+           (!target.m_agent || target.m_agent->is_idle(now));
+}
+
+auto next_deadline(node const& target, time_point now) -> time_point
+{
+    auto first = never;
+    if (target.m_entry)
+        first = std::min(first, target.m_entry->next_deadline());
+    if (target.m_agent)
+        first = std::min(first, target.m_agent->next_deadline());
+    if (target.m_control)
+        first = std::min(first, target.m_control->next_deadline(now));
+    return first;
+}
+
+} // namespace
+
+auto reduce(node& target, time_point now, event const& incoming, effects& out)
+    -> void
+{
+    if (target.m_has_exited)
+        return;
+    auto const first = out.size();
+    std::visit(event_router{target, now, out}, incoming);
+    deliver_to_self(target, now, out, first);
+    if (target.m_is_stopping && is_idle(target, now))
+    {
+        target.m_has_exited = true;
+        out.emplace_back(exit_process{});
+        return;
+    }
+    if (auto const next = next_deadline(target, now); next != target.m_timer)
+    {
+        target.m_timer = next;
+        out.emplace_back(set_timer{next});
+    }
+}
+
+auto greeting(node const& target) -> hello
+{
+    auto words = hello{};
+    words.m_node = target.m_id;
+    words.m_role = target.m_control ? role::control
+                   : target.m_entry ? role::entry
+                                    : role::agent;
+    words.m_name = target.m_name;
+    words.m_address = target.m_address;
+    words.m_cluster = target.m_control ? target.m_control->cluster() : 0;
+    words.m_secret = target.m_secret;
+    words.m_needs_configuration = target.m_entry || target.m_agent;
+    return words;
+}
+
+auto is_ready(node const& target, time_point now) -> bool
+{
+    if (target.m_is_stopping)
+        return false;
+    return !target.m_entry || target.m_entry->has_lease(now);
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/random_source.hpp
@@ -0,0 +1,32 @@
+#ifndef HICKORYLATCH_CORE_RANDOM_SOURCE_HPP
+#define HICKORYLATCH_CORE_RANDOM_SOURCE_HPP
+
+#include "core/submission.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace hickorylatch::core
+{
+
+/// Deterministic random numbers of one node, from the seed in `started`.
+class random_source
+{
+public:
+    auto seed(std::uint64_t value) -> void;
+
+    [[nodiscard]] auto number() -> std::uint64_t;
+    /// Lower-case hexadecimal digits, at most 16.
+    [[nodiscard]] auto hexadecimal(std::size_t digits) -> std::string;
+    /// A new span in the given trace, or in a new trace if it has none.
+    [[nodiscard]] auto child_of(trace_context const& parent) -> trace_context;
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/tests/core/fake_system.cpp
@@ -0,0 +1,502 @@
+#include "core/fake_system.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace hickorylatch::test
+{
+
+namespace
+{
+
+// Images travel by reference in tests; the bytes hold their number.
+auto images() -> std::vector<core::control_image>&
+{
+    static auto kept = std::vector<core::control_image>{};
+    return kept;
+}
+
+auto encode(core::control_image const& image) -> std::string
+{
+    images().push_back(image);
+    return std::to_string(images().size());
+}
+
+auto decode(std::string_view bytes) -> std::optional<core::control_image>
+{
+    if (bytes.empty())
+        return std::nullopt;
+    return images().at(std::stoul(std::string{bytes}) - 1);
+}
+
+constexpr auto link_notice = std::chrono::milliseconds{5};
+
+} // namespace
+
+fake_system::fake_system(std::uint64_t seed, fault_plan plan)
+    : m_run_time{[](std::string const&)
+                 {
+                     return std::chrono::milliseconds{100};
+                 }},
+      m_succeeds{[](std::string const&, std::string const&)
+                 {
+                     return true;
+                 }},
+      m_random{seed}, m_plan{plan}
+{
+}
+
+auto fake_system::add_control(std::string const& name) -> void
+{
+    auto& added = m_processes[name];
+    added.m_disk = std::make_shared<fake_disk>();
+    added.m_disk->m_state.m_identity = core::node_id{m_random()};
+    added.m_make = [this, name, disk = added.m_disk]
+    {
+        auto made = std::make_unique<core::node>();
+        made->m_id = disk->m_state.m_identity;
+        made->m_name = made->m_address = name;
+        made->m_control.emplace(core::control_settings{},
+                                core::replica_settings{}, disk->m_state,
+                                core::image_codec{encode, decode}, name);
+        return made;
+    };
+    start_process(name);
+}
+
+auto fake_system::add_entry(std::string const& name) -> void
+{
+    m_processes[name].m_make = [this, name]
+    {
+        auto made = std::make_unique<core::node>();
+        made->m_id = core::node_id{m_random()};
+        made->m_name = name;
+        made->m_entry.emplace();
+        return made;
+    };
+    start_process(name);
+}
+
+auto fake_system::add_agent(std::string const& name, core::agent_kind kind,
+                            std::string const& service, std::uint32_t slots)
+    -> void
+{
+    m_processes[name].m_make = [this, name, kind, service, slots]
+    {
+        auto made = std::make_unique<core::node>();
+        made->m_id = core::node_id{m_random()};
+        made->m_name = name;
+        auto info = core::agent_info{};
+        info.m_node = made->m_id;
+        info.m_name = name;
+        info.m_kind = kind;
+        info.m_service = service;
+        info.m_slots = slots;
+        info.m_cores = slots;
+        info.m_memory_mb = 1024 * slots;
+        made->m_agent.emplace(info);
+        return made;
+    };
+    start_process(name);
+}
+
+auto fake_system::found() -> void
+{
+    auto controls = std::vector<std::string>{};
+    for (auto const& [name, each] : m_processes)
+    {
+        if (each.m_disk)
+            controls.push_back(name);
+    }
+    operate(controls.front(), core::found_control_group{
+                                  static_cast<std::uint32_t>(controls.size())});
+    if (!run_until(
+            [this]
+            {
+                return !leader().empty();
+            },
+            std::chrono::seconds{10}))
+        throw std::runtime_error{"no leader after founding"};
+    auto change = core::change_configuration{};
+    change.m_request_id = "first";
+    change.m_configuration.m_customers = {{"acme", "rahim", 5, 0},
+                                          {"urgent", "salma", 9, 0}};
+    change.m_configuration.m_services = {{"desk", {"/stock"}, 10'000, 30'000}};
+    operate(leader(), change);
+    run_for(std::chrono::milliseconds{500});
+}
+
+auto fake_system::submit(std::string const& entry, core::submission work)
+    -> core::exchange_id
+{
+    auto const exchange = ++m_exchange;
+    feed(entry, core::request_arrived{exchange, std::move(work), 0});
+    return exchange;
+}
+
+auto fake_system::operate(std::string const& name, core::operation asked)
+    -> core::exchange_id
+{
+    auto const exchange = ++m_exchange;
+    feed(name, core::operator_arrived{exchange, std::move(asked)});
+    return exchange;
+}
+
+auto fake_system::stop(std::string const& name) -> void
+{
+    feed(name, core::stop_requested{});
+}
+
+auto fake_system::kill(std::string const& name) -> void
+{
+    auto& dead = m_processes.at(name);
+    ++dead.m_life;
+    dead.m_node.reset();
+    dead.m_is_frozen = false;
+    for (auto const& [other, each] : m_processes)
+        link(name, other, false);
+}
+
+auto fake_system::restart(std::string const& name) -> void
+{
+    start_process(name);
+}
+
+auto fake_system::cut(std::string const& one, std::string const& other,
+                      bool is_cut) -> void
+{
+    auto const pair = std::minmax(one, other);
+    if (is_cut)
+        m_cuts.insert(pair);
+    else if (m_cuts.erase(pair) != 0)
+    {
+        link(one, other, false);
+        link(one, other, true);
+    }
+}
+
+auto fake_system::freeze(std::string const& name, bool is_frozen) -> void
+{
+    auto& target = m_processes.at(name);
+    target.m_is_frozen = is_frozen;
+    if (!is_frozen && target.m_node)
+        feed(name, core::timer_fired{});
+}
+
+auto fake_system::run_for(core::duration span) -> void
+{
+    run_until(
+        []
+        {
+            return false;
+        },
+        span);
+}
+
+auto fake_system::run_until(std::function<bool()> const& is_done,
+                            core::duration span) -> bool
+{
+    auto const end = m_now + span;
+    while (!is_done())
+    {
+        if (m_agenda.empty() || m_agenda.begin()->first > end)
+        {
+            m_now = end;
+            return false;
+        }
+        auto const next = m_agenda.begin();
+        m_now = std::max(m_now, next->first);
+        auto const action = std::move(next->second);
+        m_agenda.erase(next);
+        action();
+    }
+    return true;
+}
+
+auto fake_system::answer(core::exchange_id exchange) const -> told const*
+{
+    auto const found = m_told.find(exchange);
+    return found == m_told.end() ? nullptr : &found->second;
+}
+
+auto fake_system::operator_answer(core::exchange_id exchange) const
+    -> core::operate_result const*
+{
+    auto const found = m_operator_told.find(exchange);
+    return found == m_operator_told.end() ? nullptr : &found->second;
+}
+
+auto fake_system::starts(std::string const& body) const -> unsigned
+{
+    auto const found = m_starts.find(body);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+auto fake_system::node(std::string const& name) -> core::node&
+{
+    return *m_processes.at(name).m_node;
+}
+
+auto fake_system::is_alive(std::string const& name) const -> bool
+{
+    return m_processes.at(name).m_node != nullptr;
+}
+
+auto fake_system::leader() const -> std::string
+{
+    for (auto const& [name, each] : m_processes)
+    {
+        if (each.m_node && each.m_node->m_control && !each.m_is_frozen &&
+            each.m_node->m_control->is_leading(m_now))
+            return name;
+    }
+    return {};
+}
+
+auto fake_system::now() const -> core::time_point
+{
+    return m_now;
+}
+
+auto fake_system::random() -> std::mt19937_64&
+{
+    return m_random;
+}
+
+auto fake_system::start_process(std::string const& name) -> void
+{
+    auto& born = m_processes.at(name);
+    ++born.m_life;
+    born.m_node = born.m_make();
+    feed(name, core::clock_read{1'000'000});
+    feed(name, core::started{m_random()});
+    for (auto const& [other, each] : m_processes)
+    {
+        auto const has_control = born.m_disk || each.m_disk;
+        if (other != name && has_control)
+            link(name, other, true);
+    }
+}
+
+auto fake_system::feed(std::string const& name, core::event const& incoming)
+    -> void
+{
+    auto& target = m_processes.at(name);
+    if (!target.m_node)
+        return;
+    if (target.m_is_frozen)
+    {
+        // A frozen process sees what came meanwhile once it goes on.
+        after(std::chrono::milliseconds{10}, name, incoming);
+        return;
+    }
+    auto out = core::effects{};
+    core::reduce(*target.m_node, m_now, incoming, out);
+    carry_out(name, out);
+}
+
+auto fake_system::carry_out(std::string const& name, core::effects& out) -> void
+{
+    for (auto& effect : out)
+    {
+        if (auto* sent = std::get_if<core::send>(&effect))
+            carry(name, *sent);
+        else if (auto* write = std::get_if<core::append_log>(&effect))
+            carry(name, *write);
+        else if (auto* save = std::get_if<core::save_snapshot>(&effect))
+            carry(name, *save);
+        else if (auto* call = std::get_if<core::start_call>(&effect))
+            carry(name, *call);
+        else if (auto const* stopped = std::get_if<core::cancel_call>(&effect))
+            after(std::chrono::milliseconds{1}, name,
+                  core::call_finished{stopped->m_attempt,
+                                      core::uncertain(core::reason::cancelled),
+                                      {}});
+        else if (auto* done = std::get_if<core::reply>(&effect))
+            m_told[done->m_exchange] = {done->m_verdict, done->m_answers,
+                                        m_now};
+        else if (auto* result = std::get_if<core::reply_operator>(&effect))
+            m_operator_told[result->m_exchange] = result->m_result;
+        else if (std::holds_alternative<core::exit_process>(effect))
+            after(std::chrono::milliseconds{0}, name, core::stop_requested{});
+        else if (auto const* timer = std::get_if<core::set_timer>(&effect))
+        {
+            auto const life = ++m_processes.at(name).m_timer_life;
+            if (timer->m_at == core::never)
+                continue;
+            m_agenda.emplace(std::max(timer->m_at, m_now),
+                             [this, name, life]
+                             {
+                                 auto& target = m_processes.at(name);
+                                 if (target.m_timer_life != life)
+                                     return;
+                                 if (target.m_node)
+                                     target.m_node->m_timer = core::never;
+                                 feed(name, core::timer_fired{});
+                             });
+        }
+    }
+    auto& self = m_processes.at(name);
+    if (self.m_node && self.m_node->m_has_exited)
+        kill(name);
+}
+
+auto fake_system::carry(std::string const& name, core::send& sent) -> void
+{
+    auto const to = find(sent.m_to);
+    if (to.empty() || is_cut(name, to) ||
+        m_random() % 100 < m_plan.m_drop_percent)
+        return;
+    auto const spread =
+        (m_plan.m_delay_maximum - m_plan.m_delay_minimum).count() + 1;
+    auto const delay = m_plan.m_delay_minimum +
+                       core::duration{static_cast<std::int64_t>(
+                           m_random() % static_cast<std::uint64_t>(spread))};
+    // A link keeps the order of its messages.
+    auto& last = m_order[{name, to}];
+    last = std::max(last, m_now + delay);
+    auto const from = m_processes.at(name).m_node->m_id;
+    after(last - m_now, to,
+          core::message_received{from, std::move(sent.m_message)});
+}
+
+auto fake_system::carry(std::string const& name, core::append_log& write)
+    -> void
+{
+    auto const life = m_processes.at(name).m_life;
+    m_agenda.emplace(m_now + m_plan.m_sync_delay,
+                     [this, name, life, write = std::move(write)]
+                     {
+                         auto& target = m_processes.at(name);
+                         if (target.m_life != life)
+                             return;
+                         auto& state = target.m_disk->m_state;
+                         if (write.m_hard_state)
+                             state.m_hard_state = *write.m_hard_state;
+                         if (write.m_truncate_from != 0)
+                             std::erase_if(state.m_entries,
+                                           [&](core::log_entry const& entry)
+                                           {
+                                               return entry.m_index >=
+                                                      write.m_truncate_from;
+                                           });
+                         state.m_entries.insert(state.m_entries.end(),
+                                                write.m_entries.begin(),
+                                                write.m_entries.end());
+                         feed(name, core::log_synced{write.m_write});
+                     });
+}
+
+auto fake_system::carry(std::string const& name, core::save_snapshot& save)
+    -> void
+{
+    auto const life = m_processes.at(name).m_life;
+    m_agenda.emplace(m_now + m_plan.m_sync_delay,
+                     [this, name, life, saved = std::move(save.m_snapshot)]
+                     {
+                         auto& target = m_processes.at(name);
+                         if (target.m_life != life)
+                             return;
+                         auto& state = target.m_disk->m_state;
+                         state.m_snapshot = saved;
+                         std::erase_if(state.m_entries,
+                                       [&](core::log_entry const& entry)
+                                       {
+                                           return entry.m_index <=
+                                                  saved.m_last_index;
+                                       });
+                         feed(name, core::snapshot_saved{saved.m_last_index});
+                     });
+}
+
+auto fake_system::carry(std::string const& name, core::start_call& call) -> void
+{
+    auto const& body = call.m_task.m_body;
+    ++m_starts[body];
+    auto const succeeds = m_succeeds(name, body);
+    auto answer = core::task_answer{
+        succeeds, static_cast<std::uint16_t>(succeeds ? 200 : 500),
+        "answer to " + body};
+    after(m_run_time(body), name,
+          core::call_finished{call.m_attempt,
+                              {core::run_state::ran, core::reason::none, {}, 0},
+                              std::move(answer)});
+}
+
+auto fake_system::after(core::duration delay, std::string const& name,
+                        core::event incoming) -> void
+{
+    auto const life = m_processes.at(name).m_life;
+    m_agenda.emplace(m_now + delay,
+                     [this, name, life, incoming = std::move(incoming)]
+                     {
+                         if (m_processes.at(name).m_life == life)
+                             feed(name, incoming);
+                     });
+}
+
+auto fake_system::link(std::string const& one, std::string const& other,
+                       bool is_up) -> void
+{
+    auto const tell =
+        [this, is_up](std::string const& to, std::string const& about)
+    {
+        auto const& subject = m_processes.at(about);
+        if (!m_processes.at(to).m_node || !subject.m_node || to == about)
+            return;
+        if (is_up)
+            after(link_notice, to,
+                  core::peer_connected{core::greeting(*subject.m_node)});
+        else
+            after(link_notice, to,
+                  core::peer_disconnected{subject.m_node->m_id});
+    };
+    tell(one, other);
+    tell(other, one);
+}
+
+auto fake_system::find(core::node_id node) const -> std::string
+{
+    for (auto const& [name, each] : m_processes)
+    {
+        if (each.m_node && each.m_node->m_id == node)
+            return name;
+    }
+    return {};
+}
+
+auto fake_system::is_cut(std::string const& one, std::string const& other) const
+    -> bool
+{
+    return m_cuts.contains(std::minmax(one, other));
+}
+
+auto make_request(std::string const& path, std::string const& body)
+    -> core::submission
+{
+    auto work = core::submission{};
+    work.m_service = "desk";
+    work.m_path = path;
+    work.m_customer = "acme";
+    work.m_key = path == "/stock" ? "" : body;
+    work.m_submitted_at = 1'000'000;
+    work.m_tasks.resize(1);
+    work.m_tasks[0].m_body = body;
+    return work;
+}
+
+auto make_job(std::string const& key, std::size_t tasks) -> core::submission
+{
+    auto work = core::submission{};
+    work.m_kind = core::submission_kind::job;
+    work.m_schema_version = 1;
+    work.m_customer = "acme";
+    work.m_key = key;
+    work.m_submitted_at = 1'000'000;
+    work.m_tasks.resize(tasks);
+    for (auto number = std::size_t{0}; number < tasks; ++number)
+        work.m_tasks[number].m_body = key + "/" + std::to_string(number);
+    return work;
+}
+
+} // namespace hickorylatch::test
--- /dev/null
+++ b/tests/core/test_whole_path.cpp
@@ -0,0 +1,116 @@
+#include "core/fake_system.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace core = hickorylatch::core;
+using hickorylatch::test::fake_system;
+using hickorylatch::test::make_job;
+using hickorylatch::test::make_request;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+auto make_system(std::size_t controls) -> std::unique_ptr<fake_system>
+{
+    auto system = std::make_unique<fake_system>(7);
+    for (auto number = std::size_t{0}; number < controls; ++number)
+        system->add_control("control-" + std::to_string(number));
+    system->add_entry("entry-0");
+    system->add_entry("entry-1");
+    system->add_agent("endpoint-0", core::agent_kind::endpoint, "desk", 2);
+    system->add_agent("worker-0", core::agent_kind::worker, "workers", 4);
+    system->add_agent("worker-1", core::agent_kind::worker, "workers", 4);
+    system->run_for(100ms);
+    system->found();
+    return system;
+}
+
+} // namespace
+
+// Guards against a request that gets no answer or another's answer.
+BOOST_AUTO_TEST_CASE(a_request_gets_its_own_answer)
+{
+    auto const system = make_system(1);
+    for (auto const* path : {"/stock", "/reserve"})
+    {
+        auto const body = std::string{path} + " 12 reels";
+        auto const exchange =
+            system->submit("entry-0", make_request(path, body));
+        BOOST_REQUIRE(system->run_until(
+            [&]
+            {
+                return system->answer(exchange) != nullptr;
+            },
+            2s));
+        auto const* answer = system->answer(exchange);
+        BOOST_TEST((answer->m_verdict.m_run == core::run_state::ran));
+        BOOST_REQUIRE(answer->m_answers.size() == 1U);
+        BOOST_TEST(answer->m_answers[0].m_body == "answer to " + body);
+        BOOST_TEST(system->starts(body) == 1U);
+    }
+}
+
+// Guards against a job that is answered in part or whose tasks run twice.
+BOOST_AUTO_TEST_CASE(a_job_gets_one_whole_answer)
+{
+    auto const system = make_system(1);
+    auto const job = make_job("job-1", 40);
+    auto const first = system->submit("entry-0", job);
+    auto const second = system->submit("entry-1", job);
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->answer(first) && system->answer(second);
+        },
+        10s));
+    for (auto const exchange : {first, second})
+    {
+        auto const* answer = system->answer(exchange);
+        BOOST_TEST((answer->m_verdict.m_run == core::run_state::ran));
+        BOOST_TEST(answer->m_answers.size() == 40U);
+    }
+    auto const later = system->submit("entry-1", job);
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->answer(later) != nullptr;
+        },
+        1s));
+    BOOST_TEST(system->answer(later)->m_answers.size() == 40U);
+    for (auto number = 0; number < 40; ++number)
+        BOOST_TEST(system->starts("job-1/" + std::to_string(number)) == 1U);
+}
+
+// Guards against a stopping agent that cuts what it runs or takes new work.
+BOOST_AUTO_TEST_CASE(a_stopping_agent_ends_its_work_and_takes_no_more)
+{
+    auto const system = make_system(1);
+    auto const running =
+        system->submit("entry-0", make_request("/reserve", "held"));
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->starts("held") == 1;
+        },
+        1s));
+    system->stop("endpoint-0");
+    auto const refused =
+        system->submit("entry-0", make_request("/stock", "too late"));
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->answer(running) != nullptr;
+        },
+        2s));
+    BOOST_TEST(
+        (system->answer(running)->m_verdict.m_run == core::run_state::ran));
+    BOOST_TEST(system->run_until(
+        [&]
+        {
+            return !system->is_alive("endpoint-0");
+        },
+        10s));
+    BOOST_TEST(system->starts("too late") == 0U);
+    BOOST_TEST(system->answer(refused) == nullptr);
+}
