Give the dispatcher logarithmic queues, health and admission

Cause: every call of the dispatcher searched all queued items, queues were unbounded in practice, and nothing kept a failing or slow agent from attracting work.

The class is split: service_queue (priority with aging, fair between customers by run time), agent_table (agents ordered by trust and load), agent_health (probation, stragglers), run_time_estimator, work_ledger (consistent counts), admission_policy (quota, deadline, size, queue length), task_binder (which task starts where, proposed moves) and placement_policy (allotment).

Ruled out: always raising old items by their age, which lets a backlog of low priority displace urgent work in an overload. Old items get at most one in eight starts instead.

Interface: enqueue has an overload that may displace and reports what it displaced; check, release, report_usage, moves, reassign, wake_at and is_on_probation are new; allotted items are never refused; items allotted to a removed agent stay queued until moved.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,215 +1,296 @@
 #include "core/dispatcher.hpp"
 
+#include "core/placement_policy.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace hickorylatch::core
 {
 
-auto dispatcher::add_agent(time_point, agent_info const& agent,
+dispatcher::dispatcher()
+    : m_ledger{std::make_unique<work_ledger>()},
+      m_admission{*m_ledger}, m_binder{*m_ledger}
+{
+}
+
+auto dispatcher::add_agent(time_point now, agent_info const& info,
                            std::span<attempt_id const> running) -> void
 {
-    auto& state = m_agents[agent.m_node];
-    state.m_info = agent;
+    auto& agent = m_ledger->agents().add(info);
     for (auto const attempt : running)
     {
-        if (m_running.contains(attempt))
+        if (m_ledger->is_running(attempt))
             continue;
-        auto item = work_item{};
-        item.m_attempt = attempt;
-        item.m_service = agent.m_service;
-        m_running.emplace(attempt, std::pair{agent.m_node, item});
-        ++state.m_used_slots;
-        state.m_used_cores += item.m_cores;
+        agent.m_health.bound();
+        if (m_ledger->is_queued(attempt))
+            m_ledger->start(now, attempt, agent);
+        else
+            m_ledger->add_unknown(now, attempt, agent);
     }
+    m_ledger->agents().refresh(agent);
+    m_ledger->mark_ready(agent);
 }
 
-auto dispatcher::remove_agent(node_id agent) -> std::vector<attempt_id>
+auto dispatcher::remove_agent(node_id node) -> std::vector<attempt_id>
 {
-    auto lost = std::vector<attempt_id>{};
-    for (auto const& [attempt, place] : m_running)
+    auto lost = m_ledger->running_at(node);
+    for (auto const attempt : lost)
     {
-        if (place.first == agent)
-            lost.push_back(attempt);
+        m_ledger->stop(attempt);
+        if (auto* const agent = m_ledger->agents().find(node))
+            agent->m_health.released();
     }
-    for (auto const attempt : lost)
-        m_running.erase(attempt);
-    m_agents.erase(agent);
-    std::ranges::sort(lost);
+    m_ledger->agents().remove(node);
     return lost;
 }
 
-auto dispatcher::set_leaving(node_id agent, bool leaving) -> void
+auto dispatcher::set_leaving(node_id node, bool leaving) -> void
 {
-    if (auto const found = m_agents.find(agent); found != m_agents.end())
-        found->second.m_info.m_leaving = leaving;
+    auto* const agent = m_ledger->agents().find(node);
+    if (agent == nullptr)
+        return;
+    agent->m_info.m_leaving = leaving;
+    m_ledger->agents().refresh(*agent);
+    m_ledger->mark_ready(*agent);
 }
 
 auto dispatcher::apply(configuration const& config) -> void
 {
-    m_drained = config.m_drained;
-    m_limits.clear();
-    for (auto const& service : config.m_services)
-        m_limits[service.m_name] = service.m_queue_limit;
+    m_ledger->apply(config);
 }
 
-auto dispatcher::enqueue(time_point, work_item item) -> std::optional<verdict>
+auto dispatcher::report_usage(node_id node, std::uint32_t used_millicores,
+                              std::uint32_t used_memory_mb) -> void
 {
-    auto const limit = m_limits.find(item.m_service);
-    if (limit != m_limits.end() && queued(item.m_service) >= limit->second)
-        return refused(reason::queue_full, {}, 1000);
-    auto& line = m_queue[item.m_priority];
-    line.push_back(std::move(item));
-    return std::nullopt;
+    auto* const agent = m_ledger->agents().find(node);
+    if (agent == nullptr)
+        return;
+    agent->report_usage(used_millicores, used_memory_mb);
+    m_ledger->agents().refresh(*agent);
+    m_ledger->mark_ready(*agent);
+}
+
+auto dispatcher::enqueue(time_point now, work_item item)
+    -> std::optional<verdict>
+{
+    return enqueue(now, std::move(item), nullptr);
+}
+
+auto dispatcher::enqueue(time_point now, work_item item,
+                         std::vector<attempt_id>& displaced)
+    -> std::optional<verdict>
+{
+    return enqueue(now, std::move(item), &displaced);
+}
+
+auto dispatcher::check(std::string_view customer,
+                       std::span<task const> tasks) const
+    -> std::optional<verdict>
+{
+    return m_admission.check(customer, tasks);
 }
 
 auto dispatcher::allot(std::span<task const> tasks) -> std::vector<node_id>
 {
+    auto policy = placement_policy{m_ledger->agents()};
     auto chosen = std::vector<node_id>{};
+    chosen.reserve(tasks.size());
     for (auto const& wanted : tasks)
     {
-        agent_state* best = nullptr;
-        for (auto& [node, state] : m_agents)
+        auto const node = policy.place(demand_of(wanted));
+        if (node == no_node)
         {
-            auto const& info = state.m_info;
-            if (info.m_service != worker_service || info.m_leaving ||
-                info.m_cores < wanted.m_cores ||
-                info.m_memory_mb < wanted.m_memory_mb ||
-                info.m_accelerators < wanted.m_accelerators)
-                continue;
-            if (best == nullptr || state.m_allotted < best->m_allotted)
-                best = &state;
-        }
-        if (best == nullptr)
+            release(tasks, chosen);
             return {};
-        ++best->m_allotted;
-        chosen.push_back(best->m_info.m_node);
+        }
+        chosen.push_back(node);
     }
     return chosen;
 }
 
-auto dispatcher::next(time_point) -> std::optional<placement>
+auto dispatcher::release(std::span<task const> tasks,
+                         std::span<node_id const> agents) -> void
 {
-    for (auto& [level, line] : m_queue)
+    auto const count = std::min(tasks.size(), agents.size());
+    for (auto at = std::size_t{0}; at < count; ++at)
     {
-        for (auto item = line.begin(); item != line.end(); ++item)
-        {
-            auto* const agent = choose_agent(*item);
-            if (agent == nullptr)
-                continue;
-            ++agent->m_used_slots;
-            agent->m_used_cores += item->m_cores;
-            agent->m_used_memory_mb += item->m_memory_mb;
-            agent->m_used_accelerators += item->m_accelerators;
-            auto const node = agent->m_info.m_node;
-            auto const attempt = item->m_attempt;
-            m_running.emplace(attempt, std::pair{node, std::move(*item)});
-            line.erase(item);
-            return placement{attempt, node};
-        }
+        auto* const agent = m_ledger->agents().find(agents[at]);
+        if (agent == nullptr)
+            continue;
+        agent->m_pending -= demand_of(tasks[at]);
+        m_ledger->agents().refresh(*agent);
     }
-    return std::nullopt;
 }
 
-auto dispatcher::finish(time_point, attempt_id attempt, attempt_outcome) -> void
+auto dispatcher::moves(time_point now, std::size_t limit)
+    -> std::vector<allotment_move>
 {
-    auto const found = m_running.find(attempt);
-    if (found == m_running.end())
+    return m_binder.propose_moves(now, limit);
+}
+
+auto dispatcher::reassign(attempt_id attempt, node_id agent) -> bool
+{
+    return m_ledger->reassign(attempt, agent);
+}
+
+auto dispatcher::next(time_point now) -> std::optional<placement>
+{
+    return m_binder.bind_next(now);
+}
+
+auto dispatcher::finish(time_point now, attempt_id attempt,
+                        attempt_outcome outcome) -> void
+{
+    auto const done = m_ledger->stop(attempt);
+    if (!done)
         return;
-    auto const& [node, item] = found->second;
-    if (auto const agent = m_agents.find(node); agent != m_agents.end())
-    {
-        --agent->second.m_used_slots;
-        agent->second.m_used_cores -= item.m_cores;
-        agent->second.m_used_memory_mb -= item.m_memory_mb;
-        agent->second.m_used_accelerators -= item.m_accelerators;
-    }
-    m_running.erase(found);
+    record_run(now, *done, outcome);
+    if (auto* const agent = m_ledger->agents().find(done->m_agent))
+        m_ledger->agents().refresh(*agent);
 }
 
 auto dispatcher::withdraw(attempt_id attempt) -> bool
 {
-    for (auto& [level, line] : m_queue)
-    {
-        auto const found =
-            std::ranges::find(line, attempt, &work_item::m_attempt);
-        if (found == line.end())
-            continue;
-        line.erase(found);
-        return true;
-    }
-    return false;
+    return m_ledger->drop(attempt);
 }
 
 auto dispatcher::expire(time_point now) -> std::vector<attempt_id>
 {
     auto expired = std::vector<attempt_id>{};
-    for (auto& [level, line] : m_queue)
+    while (true)
+    {
+        auto const [at, attempt] = m_ledger->next_expiry();
+        if (at == never || at > now)
+            return expired;
+        m_ledger->drop(attempt);
+        expired.push_back(attempt);
+    }
+}
+
+auto dispatcher::wake_at() const -> time_point
+{
+    auto const expiry = m_ledger->next_expiry().first;
+    auto const& agents = std::as_const(*m_ledger).agents();
+    for (auto const& [at, node] : agents.trials())
     {
-        std::erase_if(line,
-                      [&](work_item const& item)
-                      {
-                          if (item.m_deadline > now)
-                              return false;
-                          expired.push_back(item.m_attempt);
-                          return true;
-                      });
+        if (at >= expiry)
+            break;
+        auto const& agent = *agents.find(node);
+        auto const* const service =
+            m_ledger->find_service(agent.m_info.m_service);
+        if (agent.m_queue.size() > 0 ||
+            (service != nullptr && service->m_queue.size() > 0))
+            return at;
     }
-    return expired;
+    return expiry;
 }
 
-auto dispatcher::has_agent(node_id agent) const -> bool
+auto dispatcher::has_agent(node_id node) const -> bool
 {
-    return m_agents.contains(agent);
+    auto const* const agent = m_ledger->agents().find(node);
+    return agent != nullptr && agent->m_is_present;
 }
 
 auto dispatcher::queued(std::string_view service) const -> std::size_t
 {
-    auto total = std::size_t{0};
-    for (auto const& [level, line] : m_queue)
-        total += static_cast<std::size_t>(
-            std::ranges::count(line, service, &work_item::m_service));
-    return total;
+    auto const* const found = m_ledger->find_service(service);
+    return found == nullptr ? 0 : found->m_queued;
 }
 
 auto dispatcher::running(std::string_view service) const -> std::size_t
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_running,
-        [service](auto const& entry)
-        {
-            return entry.second.second.m_service == service;
-        }));
+    auto const* const found = m_ledger->find_service(service);
+    return found == nullptr ? 0 : found->m_running;
 }
 
-auto dispatcher::has_room(agent_state const& agent, work_item const& item) const
-    -> bool
+auto dispatcher::is_on_probation(node_id node) const -> bool
 {
-    auto const& info = agent.m_info;
-    if (info.m_leaving || info.m_service != item.m_service ||
-        agent.m_used_slots >= info.m_slots ||
-        std::ranges::find(m_drained, info.m_name) != m_drained.end())
-        return false;
-    if (info.m_kind == agent_kind::endpoint)
-        return true;
-    return agent.m_used_cores + item.m_cores <= info.m_cores &&
-           agent.m_used_memory_mb + item.m_memory_mb <= info.m_memory_mb &&
-           agent.m_used_accelerators + item.m_accelerators <=
-               info.m_accelerators;
+    auto const* const agent = m_ledger->agents().find(node);
+    return agent != nullptr && agent->m_health.is_on_probation();
 }
 
-auto dispatcher::choose_agent(work_item const& item) -> agent_state*
+auto dispatcher::enqueue(time_point now, work_item item,
+                         std::vector<attempt_id>* displaced)
+    -> std::optional<verdict>
 {
-    agent_state* best = nullptr;
-    for (auto& [node, state] : m_agents)
+    if (m_ledger->is_queued(item.m_attempt))
+        return std::nullopt;
+    if (item.m_allotted != no_node || m_ledger->is_running(item.m_attempt))
     {
-        if (item.m_allotted != no_node && item.m_allotted != node)
-            continue;
-        if (!has_room(state, item))
-            continue;
-        if (best == nullptr || state.m_used_slots < best->m_used_slots)
-            best = &state;
+        queue(now, std::move(item));
+        return std::nullopt;
+    }
+    if (auto refusal = m_admission.check(now, item))
+        return refusal;
+    if (m_admission.is_full(item.m_service))
+    {
+        auto const* const victim =
+            displaced == nullptr
+                ? nullptr
+                : m_admission.dispensable(item.m_service, item.m_priority);
+        if (victim == nullptr)
+            return refused(reason::queue_full, {},
+                           m_admission.retry_after(item.m_service));
+        displaced->push_back(victim->m_item.m_attempt);
+        m_ledger->drop(displaced->back());
     }
-    return best;
+    queue(now, std::move(item));
+    return std::nullopt;
+}
+
+auto dispatcher::queue(time_point now, work_item item) -> void
+{
+    // Charged to a customer while no run time is known.
+    constexpr auto unknown_cost = duration{100'000};
+    if (auto* const agent = m_ledger->agents().find(item.m_allotted))
+    {
+        agent->m_pending -= demand_of(item);
+        m_ledger->agents().refresh(*agent);
+    }
+    if (m_ledger->is_running(item.m_attempt))
+    {
+        m_ledger->identify(std::move(item));
+        return;
+    }
+    auto const& times = m_ledger->service(item.m_service).m_times;
+    auto latest = item.m_deadline;
+    if (latest != never)
+        latest -= times.least(item.m_run_time);
+    auto const cost = times.expected(item.m_run_time);
+    m_ledger->add({std::move(item), now, latest,
+                   cost > duration{0} ? cost : unknown_cost, 0});
+}
+
+auto dispatcher::record_run(time_point now, running_item const& done,
+                            attempt_outcome outcome) -> void
+{
+    auto* const agent = m_ledger->agents().find(done.m_agent);
+    auto& service = m_ledger->service(done.m_item.m_service);
+    // Failures count neither as run times nor as speed: an agent that fails
+    // everything at once would look the fastest.
+    if (outcome == attempt_outcome::succeeded && done.m_is_known)
+    {
+        auto const actual = now - done.m_started_at;
+        auto const declared = done.m_item.m_run_time;
+        auto const expected = service.m_times.expected(declared);
+        if (agent != nullptr && service.m_times.is_warm())
+            agent->m_health.observe_factor(
+                now, static_cast<double>(actual.count()) /
+                         static_cast<double>(
+                             std::max(expected, duration{1}).count()));
+        service.m_times.observe(declared, actual);
+        service.m_queue.charge(done.m_item.m_priority, done.m_item.m_customer,
+                               actual - done.m_cost);
+    }
+    if (agent == nullptr)
+        return;
+    if (outcome == attempt_outcome::succeeded)
+        agent->m_health.succeeded(now);
+    else if (outcome == attempt_outcome::failed)
+        agent->m_health.failed(now);
+    else
+        agent->m_health.released();
 }
 
 } // namespace hickorylatch::core
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -1,114 +1,119 @@
 #ifndef HICKORYLATCH_CORE_DISPATCHER_HPP
 #define HICKORYLATCH_CORE_DISPATCHER_HPP
 
+#include "core/admission_policy.hpp"
 #include "core/configuration.hpp"
 #include "core/ids.hpp"
 #include "core/message.hpp"
+#include "core/task_binder.hpp"
 #include "core/time.hpp"
 #include "core/verdict.hpp"
+#include "core/work_item.hpp"
+#include "core/work_ledger.hpp"
 
 #include <cstdint>
-#include <deque>
-#include <map>
+#include <memory>
 #include <optional>
 #include <span>
-#include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace hickorylatch::core
 {
 
-/// One task that waits for a slot.
-struct work_item
-{
-    attempt_id m_attempt;
-    std::string m_service;
-    std::string m_customer;
-    priority m_priority = 0;
-    /// `never` if it has none.
-    time_point m_deadline = never;
-    std::uint32_t m_cores = 1;
-    std::uint32_t m_memory_mb = 0;
-    std::uint32_t m_accelerators = 0;
-    /// Declared run time; 0 if unknown.
-    duration m_run_time{0};
-    /// The only agent that may run it; `no_node` if any may.
-    node_id m_allotted = no_node;
-};
-
-/// A task bound to a free slot.
-struct placement
-{
-    attempt_id m_attempt;
-    node_id m_agent = no_node;
-};
-
-enum class attempt_outcome : std::uint8_t
-{
-    succeeded,
-    failed,
-    not_run,
-    stopped
-};
-
 /// Queues and slots of every service, in the leader's memory only. Binds a
-/// waiting task to an agent only when the agent has room for it.
+/// waiting task to an agent only when the agent has room for it. Operations
+/// cost the logarithm of the number of items and agents.
 class dispatcher
 {
 public:
+    dispatcher();
+
     /// Adds an agent or replaces what is known of it. Attempts that it already
-    /// runs take their room.
+    /// runs take their room: those known, queued or running, with their
+    /// declared sizes; unknown ones as one slot and one core until `enqueue`
+    /// brings their item.
     auto add_agent(time_point now, agent_info const& agent,
                    std::span<attempt_id const> running) -> void;
-    /// Removes an agent. Returns its attempts in progress.
+    /// Removes an agent. Returns its attempts in progress. Items allotted to it
+    /// that were never bound stay queued, to be moved (see `moves`), withdrawn
+    /// or started when the same incarnation returns.
     auto remove_agent(node_id agent) -> std::vector<attempt_id>;
     auto set_leaving(node_id agent, bool leaving) -> void;
+    /// Puts queue limits, quotas and drained names in force. Work already
+    /// queued stays.
     auto apply(configuration const& config) -> void;
+    /// Takes a worker's usage report. It lags behind; it corrects the declared
+    /// sizes of the work there slowly.
+    auto report_usage(node_id agent, std::uint32_t used_millicores,
+                      std::uint32_t used_memory_mb) -> void;
 
-    /// Queues an item. A verdict comes back if it was refused, not run.
+    /// Queues an item. A verdict comes back if it was refused, not run. An
+    /// allotted item is part of accepted work and never refused. An attempt
+    /// that is queued or running already is not queued again.
     [[nodiscard]] auto enqueue(time_point now, work_item item)
         -> std::optional<verdict>;
+    /// The same, but if the queue is full, a less urgent item may be given up
+    /// for this one. Its attempt is added to `displaced`; the caller answers it
+    /// as refused, not run, with reason::queue_full.
+    [[nodiscard]] auto enqueue(time_point now, work_item item,
+                               std::vector<attempt_id>& displaced)
+        -> std::optional<verdict>;
+    /// Checks the quota of a job's customer and that each task fits some agent,
+    /// before `allot`. Changes nothing.
+    [[nodiscard]] auto check(std::string_view customer,
+                             std::span<task const> tasks) const
+        -> std::optional<verdict>;
     /// Chooses an agent for each task of a job, to be committed with its
-    /// acceptance. Empty if some task fits no agent at all.
+    /// acceptance. Empty if some task fits no open agent at all. The tasks
+    /// count as load of their agents until they are enqueued; call `release` if
+    /// the acceptance is not committed.
     [[nodiscard]] auto allot(std::span<task const> tasks)
         -> std::vector<node_id>;
-    /// Binds the next task to a slot, if any task can start now.
+    auto release(std::span<task const> tasks, std::span<node_id const> agents)
+        -> void;
+    /// Proposes at most `limit` moves of queued tasks from agents that can't
+    /// start them now to agents with free room. A proposed task is held back
+    /// until `reassign`, so that it can't start while a move is committed.
+    [[nodiscard]] auto moves(time_point now, std::size_t limit)
+        -> std::vector<allotment_move>;
+    /// Queues a task at the agent it is allotted to from now on. Ends a hold by
+    /// `moves`; with the former agent it cancels the move. False if the task
+    /// is not queued any more.
+    auto reassign(attempt_id attempt, node_id agent) -> bool;
+
+    /// Binds the next task to a slot, if any task can start now. Call until
+    /// empty, after `expire`.
     [[nodiscard]] auto next(time_point now) -> std::optional<placement>;
     /// Frees the room of an attempt.
     auto finish(time_point now, attempt_id attempt, attempt_outcome outcome)
         -> void;
     /// Takes a queued item out. False if it is not queued.
     auto withdraw(attempt_id attempt) -> bool;
-    /// Takes out the queued items whose deadline has passed.
+    /// Takes out the queued items that can't meet their deadline any more.
     [[nodiscard]] auto expire(time_point now) -> std::vector<attempt_id>;
+    /// When `expire` or `next` may have something to do although nothing else
+    /// happens; `never` if not at all. May be early or past, never late.
+    [[nodiscard]] auto wake_at() const -> time_point;
 
     [[nodiscard]] auto has_agent(node_id agent) const -> bool;
     [[nodiscard]] auto queued(std::string_view service) const -> std::size_t;
     [[nodiscard]] auto running(std::string_view service) const -> std::size_t;
+    /// True if the agent gets nothing but trials after repeated failures.
+    [[nodiscard]] auto is_on_probation(node_id agent) const -> bool;
 
 private:
-    struct agent_state
-    {
-        agent_info m_info;
-        std::uint32_t m_used_slots = 0;
-        std::uint32_t m_used_cores = 0;
-        std::uint32_t m_used_memory_mb = 0;
-        std::uint32_t m_used_accelerators = 0;
-        std::uint64_t m_allotted = 0;
-    };
-
-    [[nodiscard]] auto has_room(agent_state const& agent,
-                                work_item const& item) const -> bool;
-    [[nodiscard]] auto choose_agent(work_item const& item) -> agent_state*;
+    [[nodiscard]] auto enqueue(time_point now, work_item item,
+                               std::vector<attempt_id>* displaced)
+        -> std::optional<verdict>;
+    auto queue(time_point now, work_item item) -> void;
+    auto record_run(time_point now, running_item const& done,
+                    attempt_outcome outcome) -> void;
 
-    std::map<node_id, agent_state> m_agents;
-    std::vector<std::string> m_drained;
-    std::map<std::string, std::size_t, std::less<>> m_limits;
-    // Highest priority first, then arrival order.
-    std::map<priority, std::deque<work_item>, std::greater<>> m_queue;
-    std::unordered_map<attempt_id, std::pair<node_id, work_item>> m_running;
+    // On the heap, so that the policies' pointers survive a move.
+    std::unique_ptr<work_ledger> m_ledger;
+    admission_policy m_admission;
+    task_binder m_binder;
 };
 
 } // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/run_time_estimator.hpp
@@ -0,0 +1,41 @@
+#ifndef HICKORYLATCH_CORE_RUN_TIME_ESTIMATOR_HPP
+#define HICKORYLATCH_CORE_RUN_TIME_ESTIMATOR_HPP
+
+#include "core/time.hpp"
+
+#include <cstdint>
+
+namespace hickorylatch::core
+{
+
+/// Learns the run times of one service from its successful tasks, and how far
+/// declared run times can be trusted.
+class run_time_estimator
+{
+public:
+    /// Adds a finished task. `declared` is 0 if unknown.
+    auto observe(duration declared, duration actual) -> void;
+    /// Expected run time of a task; 0 if nothing is known.
+    [[nodiscard]] auto expected(duration declared) const -> duration;
+    /// Run time that a task needs at least, as far as its declared one can be
+    /// trusted; 0 if it can't.
+    [[nodiscard]] auto least(duration declared) const -> duration;
+    /// True once enough tasks were observed to judge single agents by.
+    [[nodiscard]] auto is_warm() const -> bool;
+    /// Mean observed run time; 0 before the first observation.
+    [[nodiscard]] auto mean() const -> duration;
+
+private:
+    [[nodiscard]] auto is_declared_reliable() const -> bool;
+
+    std::uint64_t m_count = 0;
+    std::uint64_t m_declared_count = 0;
+    double m_mean = 0;
+    /// Mean of log(actual / declared) and of its distance from that mean.
+    double m_log_ratio = 0;
+    double m_log_error = 0;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/work_item.hpp
@@ -0,0 +1,49 @@
+#ifndef HICKORYLATCH_CORE_WORK_ITEM_HPP
+#define HICKORYLATCH_CORE_WORK_ITEM_HPP
+
+#include "core/configuration.hpp"
+#include "core/ids.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace hickorylatch::core
+{
+
+/// One task that waits for a slot.
+struct work_item
+{
+    attempt_id m_attempt;
+    std::string m_service;
+    std::string m_customer;
+    priority m_priority = 0;
+    /// `never` if it has none.
+    time_point m_deadline = never;
+    std::uint32_t m_cores = 1;
+    std::uint32_t m_memory_mb = 0;
+    std::uint32_t m_accelerators = 0;
+    /// Declared run time; 0 if unknown.
+    duration m_run_time{0};
+    /// The only agent that may run it; `no_node` if any may.
+    node_id m_allotted = no_node;
+};
+
+/// A task bound to a free slot.
+struct placement
+{
+    attempt_id m_attempt;
+    node_id m_agent = no_node;
+};
+
+enum class attempt_outcome : std::uint8_t
+{
+    succeeded,
+    failed,
+    not_run,
+    stopped
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/work_ledger.cpp
@@ -0,0 +1,296 @@
+#include "core/work_ledger.hpp"
+
+#include <utility>
+
+namespace hickorylatch::core
+{
+
+auto work_ledger::add(queued_item item) -> void
+{
+    use_customer(item.m_item.m_customer);
+    push(std::move(item));
+}
+
+auto work_ledger::drop(attempt_id attempt) -> bool
+{
+    auto const item = extract(attempt);
+    if (!item)
+        return false;
+    release_customer(item->m_item.m_customer);
+    return true;
+}
+
+auto work_ledger::hold(attempt_id attempt, node_id to) -> void
+{
+    auto item = extract(attempt);
+    if (!item)
+        return;
+    if (auto* const target = m_agents.find(to))
+    {
+        target->m_pending += demand_of(item->m_item);
+        m_agents.refresh(*target);
+    }
+    track(*item);
+    m_held.emplace(attempt, held_item{std::move(*item), to});
+}
+
+auto work_ledger::reassign(attempt_id attempt, node_id agent) -> bool
+{
+    auto item = extract(attempt);
+    if (!item)
+        return false;
+    item->m_item.m_allotted = agent;
+    push(std::move(*item));
+    return true;
+}
+
+auto work_ledger::start(time_point now, attempt_id attempt, agent_state& agent)
+    -> void
+{
+    auto item = extract(attempt, now);
+    if (!item)
+        return;
+    occupy({agent.m_info.m_node, std::move(item->m_item), now, item->m_cost,
+            true});
+}
+
+auto work_ledger::add_unknown(time_point now, attempt_id attempt,
+                              agent_state& agent) -> void
+{
+    auto item = work_item{};
+    item.m_attempt = attempt;
+    item.m_service = agent.m_info.m_service;
+    use_customer(item.m_customer);
+    occupy({agent.m_info.m_node, std::move(item), now, {}, false});
+}
+
+auto work_ledger::identify(work_item item) -> void
+{
+    auto const found = m_running.find(item.m_attempt);
+    if (found == m_running.end() || found->second.m_is_known)
+        return;
+    auto known = *stop(item.m_attempt);
+    known.m_item = std::move(item);
+    known.m_is_known = true;
+    use_customer(known.m_item.m_customer);
+    occupy(std::move(known));
+}
+
+auto work_ledger::stop(attempt_id attempt) -> std::optional<running_item>
+{
+    auto const found = m_running.find(attempt);
+    if (found == m_running.end())
+        return std::nullopt;
+    auto item = std::move(found->second);
+    m_running.erase(found);
+    m_running_by_agent.erase(std::pair{item.m_agent, attempt});
+    --service(item.m_item.m_service).m_running;
+    release_customer(item.m_item.m_customer);
+    if (auto* const agent = m_agents.find(item.m_agent))
+    {
+        agent->m_running -= demand_of(item.m_item);
+        m_agents.refresh(*agent);
+        mark_ready(*agent);
+    }
+    return item;
+}
+
+auto work_ledger::apply(configuration const& config) -> void
+{
+    for (auto& [name, state] : m_services)
+        state.m_limit.reset();
+    for (auto const& configured : config.m_services)
+        service(configured.m_name).m_limit = configured.m_queue_limit;
+    for (auto& [name, use] : m_customers)
+        use.m_quota = 0;
+    for (auto const& configured : config.m_customers)
+        m_customers[configured.m_name].m_quota = configured.m_quota;
+    std::erase_if(m_customers,
+                  [](auto const& entry)
+                  {
+                      return entry.second.m_tasks == 0 &&
+                             entry.second.m_quota == 0;
+                  });
+    m_agents.drain(config.m_drained);
+    for (auto const& [name, state] : m_services)
+        m_ready_services.insert(name);
+    m_ready_agents = m_agents.backlogged();
+}
+
+auto work_ledger::mark_ready(agent_state const& agent) -> void
+{
+    m_ready_services.insert(agent.m_info.m_service);
+    if (agent.m_queue.size() > 0)
+        m_ready_agents.insert(agent.m_info.m_node);
+}
+
+auto work_ledger::is_queued(attempt_id attempt) const -> bool
+{
+    return m_locations.contains(attempt);
+}
+
+auto work_ledger::is_running(attempt_id attempt) const -> bool
+{
+    return m_running.contains(attempt);
+}
+
+auto work_ledger::running_at(node_id agent) const -> std::vector<attempt_id>
+{
+    auto found = std::vector<attempt_id>{};
+    for (auto at = m_running_by_agent.lower_bound({agent, attempt_id{}});
+         at != m_running_by_agent.end() && at->first == agent; ++at)
+        found.push_back(at->second);
+    return found;
+}
+
+auto work_ledger::next_expiry() const -> std::pair<time_point, attempt_id>
+{
+    return m_expiries.empty() ? std::pair{never, attempt_id{}}
+                              : *m_expiries.begin();
+}
+
+auto work_ledger::customer(std::string_view name) const -> customer_use
+{
+    auto const found = m_customers.find(name);
+    return found == m_customers.end() ? customer_use{} : found->second;
+}
+
+auto work_ledger::service(std::string_view name) -> service_state&
+{
+    auto found = m_services.find(name);
+    if (found == m_services.end())
+        found = m_services.try_emplace(std::string{name}).first;
+    return found->second;
+}
+
+auto work_ledger::find_service(std::string_view name) const
+    -> service_state const*
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+auto work_ledger::agents() -> agent_table&
+{
+    return m_agents;
+}
+
+auto work_ledger::agents() const -> agent_table const&
+{
+    return m_agents;
+}
+
+auto work_ledger::ready_agents() -> std::set<node_id>&
+{
+    return m_ready_agents;
+}
+
+auto work_ledger::ready_services() -> std::set<std::string, std::less<>>&
+{
+    return m_ready_services;
+}
+
+auto work_ledger::push(queued_item item) -> void
+{
+    track(item);
+    auto const node = item.m_item.m_allotted;
+    if (node == no_node)
+    {
+        auto& of = service(item.m_item.m_service);
+        m_ready_services.insert(item.m_item.m_service);
+        of.m_queue.push(std::move(item));
+        return;
+    }
+    auto& agent = m_agents.ensure(node, item.m_item.m_service);
+    agent.m_waiting += demand_of(item.m_item);
+    agent.m_queue.push(std::move(item));
+    m_agents.refresh(agent);
+    m_ready_agents.insert(node);
+}
+
+auto work_ledger::track(queued_item const& item) -> void
+{
+    auto const attempt = item.m_item.m_attempt;
+    auto& of = service(item.m_item.m_service);
+    ++of.m_queued;
+    m_locations.insert_or_assign(attempt,
+                                 location{&of, item.m_item.m_allotted});
+    if (item.m_latest_start != never)
+        m_expiries.emplace(item.m_latest_start, attempt);
+}
+
+auto work_ledger::extract(attempt_id attempt,
+                          std::optional<time_point> taken_at)
+    -> std::optional<queued_item>
+{
+    auto const extract_from = [&](service_queue& queue)
+    {
+        return taken_at ? queue.take(*taken_at, attempt)
+                        : queue.remove(attempt);
+    };
+    auto const found = m_locations.find(attempt);
+    if (found == m_locations.end())
+        return std::nullopt;
+    auto const at = found->second;
+    m_locations.erase(found);
+    --at.m_service->m_queued;
+    auto item = std::optional<queued_item>{};
+    if (auto const held = m_held.find(attempt); held != m_held.end())
+    {
+        item = std::move(held->second.m_item);
+        if (auto* const target = m_agents.find(held->second.m_to))
+        {
+            target->m_pending -= demand_of(item->m_item);
+            m_agents.refresh(*target);
+        }
+        m_held.erase(held);
+    }
+    else if (at.m_agent == no_node)
+    {
+        item = extract_from(at.m_service->m_queue);
+    }
+    else
+    {
+        auto& agent = *m_agents.find(at.m_agent);
+        item = extract_from(agent.m_queue);
+        agent.m_waiting -= demand_of(item->m_item);
+        m_agents.refresh(agent);
+        if (!agent.m_is_present && agent.m_queue.size() == 0)
+            m_agents.remove(at.m_agent);
+    }
+    if (item->m_latest_start != never)
+        m_expiries.erase(std::pair{item->m_latest_start, attempt});
+    return item;
+}
+
+auto work_ledger::occupy(running_item item) -> void
+{
+    auto const attempt = item.m_item.m_attempt;
+    ++service(item.m_item.m_service).m_running;
+    m_running_by_agent.emplace(item.m_agent, attempt);
+    if (auto* const agent = m_agents.find(item.m_agent))
+    {
+        agent->m_running += demand_of(item.m_item);
+        m_agents.refresh(*agent);
+    }
+    m_running.emplace(attempt, std::move(item));
+}
+
+auto work_ledger::use_customer(std::string const& name) -> void
+{
+    ++m_customers[name].m_tasks;
+}
+
+auto work_ledger::release_customer(std::string const& name) -> void
+{
+    auto const found = m_customers.find(name);
+    if (found == m_customers.end())
+        return;
+    auto& use = found->second;
+    if (use.m_tasks > 0)
+        --use.m_tasks;
+    if (use.m_tasks == 0 && use.m_quota == 0)
+        m_customers.erase(found);
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/tests/core/test_dispatcher.cpp
@@ -0,0 +1,193 @@
+#include "core/dispatcher_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hickorylatch::core;
+
+BOOST_FIXTURE_TEST_SUITE(dispatcher_queue, dispatcher_fixture)
+
+// Guards against urgent work waiting behind less urgent work.
+BOOST_AUTO_TEST_CASE(urgent_items_go_first)
+{
+    endpoint(1, 3);
+    BOOST_TEST(!add(request(1, 0)));
+    BOOST_TEST(!add(request(2, 9)));
+    BOOST_TEST(!add(request(3, 5)));
+    BOOST_TEST(next() == 2);
+    BOOST_TEST(next() == 3);
+    BOOST_TEST(next() == 1);
+}
+
+// Guards against a task bound to an agent without a free slot.
+BOOST_AUTO_TEST_CASE(binds_only_to_free_slots)
+{
+    endpoint(1, 1);
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(!add(request(2)));
+    BOOST_TEST(next() == 1);
+    BOOST_TEST(next() == -1);
+    finish(1);
+    BOOST_TEST(next() == 2);
+}
+
+// Guards against starvation of low priorities by a steady urgent load, and
+// against old items crowding out urgent ones.
+BOOST_AUTO_TEST_CASE(old_items_get_a_bounded_share)
+{
+    endpoint(1, 1);
+    for (auto task = 1U; task <= 100; ++task)
+        BOOST_TEST(!add(request(task, 0)));
+    m_now += service_queue::aging_step * 20;
+    auto low = 0;
+    for (auto task = 1001U; task <= 1080; ++task)
+    {
+        BOOST_TEST(!add(request(task, 9)));
+        auto const started = next();
+        low += started < 1000 ? 1 : 0;
+        finish(static_cast<std::uint32_t>(started));
+    }
+    BOOST_TEST(low == 10);
+}
+
+// Guards against one customer's backlog delaying another customer.
+BOOST_AUTO_TEST_CASE(customers_share_a_priority)
+{
+    endpoint(1, 1);
+    for (auto task = 1U; task <= 50; ++task)
+        BOOST_TEST(!add(request(task, 3, "large")));
+    for (auto task = 101U; task <= 110; ++task)
+        BOOST_TEST(!add(request(task, 3, "small")));
+    auto small = 0;
+    for (auto count = 0; count < 20; ++count)
+    {
+        auto const started = next();
+        small += started > 100 ? 1 : 0;
+        m_now += duration{1000};
+        finish(static_cast<std::uint32_t>(started));
+    }
+    BOOST_TEST(small >= 9);
+}
+
+// Guards against a customer that evades its share with long tasks.
+BOOST_AUTO_TEST_CASE(customers_share_by_run_time)
+{
+    endpoint(1, 1);
+    for (auto task = 1U; task <= 200; ++task)
+        BOOST_TEST(!add(request(task, 3, task % 2 == 0 ? "long" : "short")));
+    auto long_ones = 0;
+    for (auto count = 0; count < 100; ++count)
+    {
+        auto const started = next();
+        long_ones += started % 2 == 0 ? 1 : 0;
+        m_now += duration{started % 2 == 0 ? 90'000 : 10'000};
+        finish(static_cast<std::uint32_t>(started));
+    }
+    BOOST_TEST(long_ones < 20);
+}
+
+// Guards against an unbounded queue, and against a displaced item that its
+// caller never hears of.
+BOOST_AUTO_TEST_CASE(full_queue_refuses_or_displaces)
+{
+    auto config = configuration{};
+    config.m_services.push_back({"desk", {}, 2, 0});
+    m_dispatcher.apply(config);
+    BOOST_TEST(!add(request(1, 2)));
+    BOOST_TEST(!add(request(2, 5)));
+    auto displaced = std::vector<attempt_id>{};
+    auto const same = m_dispatcher.enqueue(m_now, request(3, 2), displaced);
+    BOOST_REQUIRE(same);
+    BOOST_TEST((same->m_reason == reason::queue_full));
+    BOOST_TEST((same->m_run == run_state::not_run));
+    BOOST_TEST(same->m_retry_after_ms > 0);
+    BOOST_TEST(add(request(4, 9)).has_value());
+    BOOST_TEST(!m_dispatcher.enqueue(m_now, request(5, 9), displaced));
+    BOOST_REQUIRE(displaced.size() == 1);
+    BOOST_TEST(displaced.front().m_task == 1);
+    BOOST_TEST(m_dispatcher.queued("desk") == 2);
+    endpoint(1, 3);
+    BOOST_TEST(next() == 5);
+    BOOST_TEST(next() == 2);
+    BOOST_TEST(next() == -1);
+}
+
+// Guards against a customer exceeding its quota or never getting it back.
+BOOST_AUTO_TEST_CASE(quota_counts_queued_and_running)
+{
+    auto config = configuration{};
+    config.m_customers.push_back({"c", {}, 0, 2});
+    m_dispatcher.apply(config);
+    endpoint(1, 1);
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(!add(request(2)));
+    BOOST_TEST(next() == 1);
+    BOOST_TEST((add(request(3))->m_reason == reason::quota));
+    BOOST_TEST(!add(request(4, 0, "other")));
+    finish(1);
+    BOOST_TEST(!add(request(5)));
+    BOOST_TEST(m_dispatcher.withdraw({volatile_origin, 2}));
+    BOOST_TEST(!add(request(6)));
+    auto const tasks = std::vector<task>(1);
+    BOOST_TEST((m_dispatcher.check("c", tasks)->m_reason == reason::quota));
+}
+
+// Guards against work that is kept although its deadline can't be met, and
+// against a refusal of work that could meet it.
+BOOST_AUTO_TEST_CASE(deadlines_expire_and_refuse_early)
+{
+    endpoint(1, 1);
+    auto item = request(0);
+    item.m_run_time = second;
+    for (auto task = 1U; task <= 20; ++task)
+    {
+        item.m_attempt.m_task = task;
+        BOOST_TEST(!add(item));
+        BOOST_TEST(next() == static_cast<int>(task));
+        m_now += second;
+        finish(task);
+    }
+    item.m_attempt.m_task = 30;
+    item.m_deadline = m_now + second / 2;
+    BOOST_TEST((add(item)->m_reason == reason::deadline));
+    item.m_deadline = m_now + second * 3;
+    for (auto task = 31U; task <= 33; ++task)
+    {
+        item.m_attempt.m_task = task;
+        BOOST_TEST(!add(item));
+        if (task == 31)
+            BOOST_TEST(next() == 31);
+    }
+    item.m_attempt.m_task = 34;
+    BOOST_TEST((add(item)->m_reason == reason::deadline));
+    BOOST_TEST(m_dispatcher.wake_at() == m_now + second * 2);
+    m_now += second * 2;
+    BOOST_TEST(m_dispatcher.expire(m_now).size() == 2);
+    BOOST_TEST(m_dispatcher.queued("desk") == 0);
+}
+
+// Guards against a cancelled item that still starts or keeps its place.
+BOOST_AUTO_TEST_CASE(withdrawn_items_leave_at_once)
+{
+    endpoint(1, 2);
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(!add(request(2)));
+    BOOST_TEST(m_dispatcher.withdraw({volatile_origin, 1}));
+    BOOST_TEST(!m_dispatcher.withdraw({volatile_origin, 1}));
+    BOOST_TEST(next() == 2);
+    BOOST_TEST(!m_dispatcher.withdraw({volatile_origin, 2}));
+    BOOST_TEST(next() == -1);
+}
+
+// Guards against an attempt that is queued twice after a resend.
+BOOST_AUTO_TEST_CASE(known_attempts_are_not_queued_again)
+{
+    endpoint(1, 2);
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(next() == 1);
+    BOOST_TEST(!add(request(1)));
+    BOOST_TEST(next() == -1);
+    BOOST_TEST(m_dispatcher.running("desk") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
