--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -12,6 +12,7 @@
 
 // Clocks of clients may be ahead by this much.
 constexpr auto clock_tolerance_ms = unix_milliseconds{5LL * 60 * 1000};
+constexpr auto displaced_retry_ms = std::uint32_t{1'000};
 constexpr auto full_table_retry_ms = std::uint32_t{60'000};
 
 auto initial_deadline(control_context const& with, submission const& work)
@@ -186,7 +187,14 @@
 auto coordinator::accept_job(control_context const& with, live_submission& work)
     -> void
 {
-    auto const allotted = m_dispatcher.allot(work.m_submission.m_tasks);
+    auto const& tasks = work.m_submission.m_tasks;
+    if (auto const why =
+            m_dispatcher.check(work.m_submission.m_customer, tasks))
+    {
+        end(with, work, *why);
+        return;
+    }
+    auto const allotted = m_dispatcher.allot(tasks);
     if (allotted.empty())
     {
         end(with, work,
@@ -223,7 +231,16 @@
     if (work.m_is_committed)
         item.m_allotted = bound;
     work.m_tasks[task].m_phase = task_phase::waiting;
-    auto const why = m_dispatcher.enqueue(with.m_now, std::move(item));
+    auto displaced = std::vector<attempt_id>{};
+    auto const why =
+        m_dispatcher.enqueue(with.m_now, std::move(item), displaced);
+    for (auto const attempt : displaced)
+    {
+        if (auto const found = m_live.find(attempt.m_origin);
+            found != m_live.end())
+            fail(with, found->second, reason::queue_full,
+                 "displaced by more urgent work", displaced_retry_ms);
+    }
     if (!why)
         return true;
     fail(with, work, why->m_reason, why->m_detail, why->m_retry_after_ms);
@@ -349,9 +366,15 @@
         return;
     for (auto const& [task, agent] : moved.m_allotments)
     {
-        auto const& waiting = found->second.m_tasks[task];
-        if (waiting.m_phase == task_phase::committing &&
-            waiting.m_agent == agent)
+        auto& waiting = found->second.m_tasks[task];
+        if (waiting.m_phase == task_phase::moving)
+        {
+            waiting.m_phase = task_phase::waiting;
+            waiting.m_agent = agent;
+            m_dispatcher.reassign({moved.m_origin, task}, agent);
+        }
+        else if (waiting.m_phase == task_phase::committing &&
+                 waiting.m_agent == agent)
             start_committed(with, found->second, task);
     }
 }
@@ -450,7 +473,8 @@
 {
     auto const& task = work.m_tasks[number];
     auto const attempt = attempt_id{work.m_origin, number};
-    if (task.m_phase == task_phase::waiting)
+    if (task.m_phase == task_phase::waiting ||
+        task.m_phase == task_phase::moving)
         m_dispatcher.withdraw(attempt);
     else if (task.m_phase == task_phase::committing)
         m_dispatcher.finish(with.m_now, attempt, attempt_outcome::not_run);
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -148,6 +148,7 @@
     auto give_up(control_context const& with, node_id agent) -> void;
     auto check_agents(control_context const& with) -> void;
     auto flush_forget(control_context const& with, agent_link& link) -> void;
+    auto move_waiting(control_context const& with) -> void;
     auto expire(control_context const& with) -> void;
 
     control_settings m_settings;
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -15,6 +15,8 @@
 constexpr auto retry_allowance = std::uint64_t{10};
 // A task refused by this many agents fails its submission.
 constexpr auto refusal_limit = 5U;
+// Moves proposed at once; each is an entry of the log.
+constexpr auto move_limit = std::size_t{64};
 constexpr auto forget_batch = std::size_t{64};
 
 auto outcome_of(core::finished const& outcome) -> attempt_outcome
@@ -236,6 +238,8 @@
         link->second.m_last_sent_at =
             std::max(link->second.m_last_sent_at, ask.m_sent_at);
     }
+    m_dispatcher.report_usage(from, ask.m_used_millicores,
+                              ask.m_used_memory_mb);
     with.m_out.emplace_back(send{from, grant(with, ask.m_sent_at)});
 }
 
@@ -340,6 +344,7 @@
     m_next_tick = with.m_now + tick_interval;
     expire(with);
     check_agents(with);
+    move_waiting(with);
     for (auto& [node, link] : m_agents)
         flush_forget(with, link);
 }
@@ -361,6 +366,20 @@
         with.m_replica.propose(expire_keys{before});
 }
 
+auto coordinator::move_waiting(control_context const& with) -> void
+{
+    for (auto const& move : m_dispatcher.moves(with.m_now, move_limit))
+    {
+        auto const attempt = move.m_attempt;
+        auto const found = m_live.find(attempt.m_origin);
+        if (found == m_live.end())
+            continue;
+        found->second.m_tasks[attempt.m_task].m_phase = task_phase::moving;
+        with.m_replica.propose(
+            core::reallot{attempt.m_origin, {{attempt.m_task, move.m_to}}});
+    }
+}
+
 auto coordinator::flush_forget(control_context const& with, agent_link& link)
     -> void
 {
--- a/src/core/live_submission.hpp
+++ b/src/core/live_submission.hpp
@@ -25,6 +25,7 @@
 enum class task_phase : std::uint8_t
 {
     waiting,    ///< Queued; this leader never sent it to an agent.
+    moving,     ///< Queued, held back while its move is being committed.
     committing, ///< Holds a slot while its allotment is being committed.
     sent,       ///< Sent to its agent; it may have started.
     unknown,    ///< Allotted under an earlier leader; its agent must tell.
