--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,80 @@
+#include "net/event_loop.hpp"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <new>
+#include <utility>
+
+namespace hickorylatch::net
+{
+
+auto event_deleter::operator()(::event* handle) const noexcept -> void
+{
+    event_free(handle);
+}
+
+auto event_base_deleter::operator()(event_base* handle) const noexcept -> void
+{
+    event_base_free(handle);
+}
+
+event_loop::event_loop()
+{
+    static auto const threads_enabled = evthread_use_pthreads();
+    m_base.reset(threads_enabled == 0 ? event_base_new() : nullptr);
+    if (!m_base)
+        throw std::bad_alloc{};
+    auto const wake = [](evutil_socket_t, short, void* self)
+    {
+        static_cast<event_loop*>(self)->run_posted();
+    };
+    m_wakeup.reset(event_new(m_base.get(), -1, EV_PERSIST, wake, this));
+    if (!m_wakeup)
+        throw std::bad_alloc{};
+}
+
+event_loop::~event_loop() = default;
+
+auto event_loop::run() -> void
+{
+    event_base_loop(m_base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto event_loop::stop() -> void
+{
+    event_base_loopbreak(m_base.get());
+}
+
+auto event_loop::post(std::function<void()> function) -> void
+{
+    {
+        auto const lock = std::scoped_lock{m_mutex};
+        m_posted.push_back(std::move(function));
+    }
+    event_active(m_wakeup.get(), EV_TIMEOUT, 0);
+}
+
+auto event_loop::now() const -> core::time_point
+{
+    return std::chrono::duration_cast<core::time_point>(
+        std::chrono::steady_clock::now().time_since_epoch());
+}
+
+auto event_loop::base() const -> event_base*
+{
+    return m_base.get();
+}
+
+auto event_loop::run_posted() -> void
+{
+    auto functions = std::vector<std::function<void()>>{};
+    {
+        auto const lock = std::scoped_lock{m_mutex};
+        functions.swap(m_posted);
+    }
+    for (auto const& function : functions)
+        function();
+}
+
+} // namespace hickorylatch::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,352 @@
+#include "net/http_client.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <new>
+#include <utility>
+
+namespace hickorylatch::net
+{
+
+namespace
+{
+
+// evhttp's own default would end a call after 50 s without data. The deadline
+// of the call is the limit instead.
+constexpr auto socket_timeout_s = 24 * 60 * 60;
+
+struct evhttp_connection_deleter
+{
+    auto operator()(evhttp_connection* handle) const noexcept -> void
+    {
+        evhttp_connection_free(handle);
+    }
+};
+
+auto copy_headers(evhttp_request* answer) -> http_headers
+{
+    auto headers = http_headers{};
+    auto const* const source = evhttp_request_get_input_headers(answer);
+    for (auto const* header = source->tqh_first; header != nullptr;
+         header = header->next.tqe_next)
+        headers.emplace_back(header->key, header->value);
+    return headers;
+}
+
+auto take_body(evhttp_request* answer) -> std::string
+{
+    auto* const source = evhttp_request_get_input_buffer(answer);
+    auto body = std::string(evbuffer_get_length(source), '\0');
+    evbuffer_remove(source, body.data(), body.size());
+    return body;
+}
+
+/// An answer without a length ends where the server closes the connection, so
+/// a truncated one would look whole.
+auto has_known_end(http_answer const& answer) -> bool
+{
+    return find_header(answer.m_headers, "Content-Length") ||
+           find_header(answer.m_headers, "Transfer-Encoding") ||
+           answer.m_status == HTTP_NOCONTENT ||
+           answer.m_status == HTTP_NOTMODIFIED;
+}
+
+auto cause_text(evhttp_request_error cause) -> std::string
+{
+    switch (cause)
+    {
+    case EVREQ_HTTP_TIMEOUT:
+        return "timed out";
+    case EVREQ_HTTP_EOF:
+        return "connection closed before the whole answer";
+    case EVREQ_HTTP_INVALID_HEADER:
+        return "invalid answer header";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        return "answer over the size limit";
+    default:
+        return "connection failed";
+    }
+}
+
+/// A path or header with these would change the meaning of the request.
+auto is_valid(http_call const& call) -> bool
+{
+    auto const is_unsafe = [](char character)
+    {
+        return static_cast<unsigned char>(character) <= ' ';
+    };
+    auto const is_line_end = [](char character)
+    {
+        return character == '\r' || character == '\n';
+    };
+    auto const is_unsafe_header = [&](auto const& header)
+    {
+        return std::ranges::any_of(header.first, is_unsafe) ||
+               std::ranges::any_of(header.second, is_line_end);
+    };
+    return !call.m_path.empty() &&
+           std::ranges::none_of(call.m_path, is_unsafe) &&
+           std::ranges::none_of(call.m_headers, is_unsafe_header);
+}
+
+auto disable_delay(bufferevent* stream) -> void
+{
+    auto const enabled = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &enabled,
+               sizeof enabled);
+}
+
+} // namespace
+
+struct http_client::connection
+{
+    http_client& m_client;
+    std::unique_ptr<evhttp_connection, evhttp_connection_deleter> m_handle;
+    /// Bytes went to the socket's output buffer for the current call. evhttp
+    /// writes there only once the connection is established.
+    bool m_has_written = false;
+    bool m_is_closed = false;
+    core::time_point m_kept_until{0};
+
+    auto stream() const -> bufferevent*
+    {
+        return evhttp_connection_get_bufferevent(m_handle.get());
+    }
+};
+
+struct http_client::active_call
+{
+    http_client& m_client;
+    call_id m_id = 0;
+    callback m_finished;
+    std::unique_ptr<connection> m_connection;
+    /// Cause of a failure; empty if none was reported.
+    std::string m_cause;
+    /// evhttp may report a failure before `start` has returned.
+    bool m_is_starting = true;
+    timer m_deadline;
+};
+
+http_client::http_client(event_loop& loop, socket_address target,
+                         http_client_settings settings)
+    : m_loop{loop}, m_target{target}, m_settings{settings}, m_cleanup{
+                                                                loop, [this]
+                                                                {
+                                                                    clean_up();
+                                                                }}
+{
+}
+
+http_client::~http_client()
+{
+    // Closing a connection starts the clean-up timer, which must still exist.
+    m_calls.clear();
+    m_idle.clear();
+    m_discarded.clear();
+}
+
+auto http_client::start(http_call const& call, callback finished) -> call_id
+{
+    auto const id = ++m_last_id;
+    auto owned = std::unique_ptr<active_call>{
+        new active_call{.m_client = *this,
+                        .m_id = id,
+                        .m_finished = std::move(finished),
+                        .m_connection = take_connection(),
+                        .m_cause = {},
+                        .m_deadline{m_loop, [this, id]
+                                    {
+                                        interrupt(id, "deadline passed");
+                                    }}}};
+    auto& state = *m_calls.emplace(id, std::move(owned)).first->second;
+    if (call.m_deadline > core::duration{0})
+        state.m_deadline.start(call.m_deadline);
+    if (!is_valid(call))
+        state.m_cause = "invalid path or header";
+    else if (!make_request(call, state) && state.m_cause.empty())
+        state.m_cause = "connection failed";
+    state.m_is_starting = false;
+    if (!state.m_cause.empty())
+        state.m_deadline.start(core::duration{0});
+    return id;
+}
+
+auto http_client::cancel(call_id call) -> void
+{
+    interrupt(call, "cancelled");
+}
+
+auto http_client::active() const -> std::size_t
+{
+    return m_calls.size();
+}
+
+auto http_client::take_connection() -> std::unique_ptr<connection>
+{
+    auto const usable = std::ranges::find_if(m_idle,
+                                             [](auto const& kept)
+                                             {
+                                                 return !kept->m_is_closed;
+                                             });
+    if (usable != m_idle.end())
+    {
+        auto kept = std::move(*usable);
+        m_idle.erase(usable);
+        kept->m_has_written = false;
+        return kept;
+    }
+    auto fresh = std::make_unique<connection>(connection{*this, {}});
+    fresh->m_handle.reset(evhttp_connection_base_new(
+        m_loop.base(), nullptr, m_target.host().c_str(), m_target.port()));
+    if (!fresh->m_handle)
+        throw std::bad_alloc{};
+    auto* const handle = fresh->m_handle.get();
+    evhttp_connection_set_retries(handle, 0);
+    evhttp_connection_set_timeout(handle, socket_timeout_s);
+    evhttp_connection_set_max_body_size(
+        handle, static_cast<ev_ssize_t>(m_settings.m_answer_limit));
+    evhttp_connection_set_max_headers_size(
+        handle, static_cast<ev_ssize_t>(m_settings.m_header_limit));
+    evhttp_connection_set_closecb(
+        handle,
+        [](evhttp_connection*, void* state)
+        {
+            auto& closed = *static_cast<connection*>(state);
+            closed.m_is_closed = true;
+            closed.m_client.m_cleanup.start(core::duration{0});
+        },
+        fresh.get());
+    auto const written =
+        [](evbuffer*, evbuffer_cb_info const* change, void* state)
+    {
+        auto& used = *static_cast<connection*>(state);
+        if (change->n_added == 0 || std::exchange(used.m_has_written, true))
+            return;
+        disable_delay(used.stream());
+    };
+    evbuffer_add_cb(bufferevent_get_output(fresh->stream()), written,
+                    fresh.get());
+    return fresh;
+}
+
+auto http_client::make_request(http_call const& call, active_call& state)
+    -> bool
+{
+    auto const ended = [](evhttp_request* answer, void* call_state)
+    {
+        auto& finished = *static_cast<active_call*>(call_state);
+        finished.m_client.answered(finished, answer);
+    };
+    auto* const request = evhttp_request_new(ended, &state);
+    if (request == nullptr)
+        throw std::bad_alloc{};
+    auto const failed = [](evhttp_request_error cause, void* call_state)
+    {
+        static_cast<active_call*>(call_state)->m_cause = cause_text(cause);
+    };
+    evhttp_request_set_error_cb(request, failed);
+    auto* const headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", m_target.text().c_str());
+    for (auto const& [name, value] : call.m_headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    if (m_settings.m_idle_limit == core::duration{0})
+        evhttp_add_header(headers, "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(request), call.m_body.data(),
+                 call.m_body.size());
+    auto const method =
+        call.m_method == "GET" ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+    return evhttp_make_request(state.m_connection->m_handle.get(), request,
+                               method, call.m_path.c_str()) == 0;
+}
+
+auto http_client::answered(active_call& call, evhttp_request* answer) -> void
+{
+    auto const status =
+        answer == nullptr ? 0 : evhttp_request_get_response_code(answer);
+    if (status == 0)
+    {
+        if (call.m_cause.empty())
+            call.m_cause = "connection failed";
+        call.m_connection->m_is_closed = true;
+        if (!call.m_is_starting)
+            finish(call.m_id, failure(call));
+        return;
+    }
+    auto result = http_result{};
+    result.m_run = core::run_state::ran;
+    result.m_answer = {static_cast<std::uint16_t>(status), copy_headers(answer),
+                       take_body(answer)};
+    if (!has_known_end(result.m_answer))
+    {
+        call.m_cause = "answer without a length";
+        result = failure(call);
+    }
+    finish(call.m_id, std::move(result));
+}
+
+auto http_client::failure(active_call const& call) const -> http_result
+{
+    auto result = http_result{};
+    result.m_run = call.m_connection->m_has_written
+                       ? core::run_state::may_have_run
+                       : core::run_state::not_run;
+    result.m_error = m_target.text() + ": " + call.m_cause;
+    return result;
+}
+
+auto http_client::interrupt(call_id id, std::string_view cause) -> void
+{
+    auto const found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    auto& call = *found->second;
+    if (call.m_cause.empty())
+        call.m_cause = cause;
+    auto result = failure(call);
+    // evhttp drops the request without calling back.
+    call.m_connection->m_handle.reset();
+    call.m_connection->m_is_closed = true;
+    finish(id, std::move(result));
+}
+
+auto http_client::finish(call_id id, http_result result) -> void
+{
+    auto const found = m_calls.find(id);
+    auto const call = std::move(found->second);
+    m_calls.erase(found);
+    auto& used = call->m_connection;
+    auto const is_kept = !used->m_is_closed &&
+                         m_settings.m_idle_limit > core::duration{0} &&
+                         m_idle.size() < m_settings.m_idle_connections;
+    used->m_kept_until = m_loop.now() + m_settings.m_idle_limit;
+    (is_kept ? m_idle : m_discarded).push_back(std::move(used));
+    m_cleanup.start(is_kept && m_discarded.empty() ? m_settings.m_idle_limit
+                                                   : core::duration{0});
+    call->m_finished(std::move(result));
+}
+
+auto http_client::clean_up() -> void
+{
+    m_discarded.clear();
+    auto const now = m_loop.now();
+    std::erase_if(m_idle,
+                  [now](auto const& kept)
+                  {
+                      return kept->m_is_closed || kept->m_kept_until <= now;
+                  });
+    // Connections are kept in the order of their expiry, but for reuse.
+    if (!m_idle.empty())
+        m_cleanup.start(m_idle.front()->m_kept_until - now);
+}
+
+} // namespace hickorylatch::net
--- /dev/null
+++ b/src/net/http_message.hpp
@@ -0,0 +1,51 @@
+#ifndef HICKORYLATCH_NET_HTTP_MESSAGE_HPP
+#define HICKORYLATCH_NET_HTTP_MESSAGE_HPP
+
+#include "core/event.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::net
+{
+
+/// Names and values in order of appearance.
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+/// The first value of a header. Names compare without regard to case. Valid as
+/// long as the headers are.
+[[nodiscard]] auto find_header(http_headers const& headers,
+                               std::string_view name)
+    -> std::optional<std::string_view>;
+
+/// A request as it arrived at a server.
+struct http_request
+{
+    core::exchange_id m_exchange = 0;
+    /// In capitals, such as "POST".
+    std::string m_method;
+    /// Path as sent, not decoded.
+    std::string m_path;
+    /// What follows the question mark, not decoded; empty if there is none.
+    std::string m_query;
+    http_headers m_headers;
+    std::string m_body;
+    /// Remote address as ip:port.
+    std::string m_remote;
+};
+
+/// A whole answer as it arrived at a client.
+struct http_answer
+{
+    std::uint16_t m_status = 0;
+    http_headers m_headers;
+    std::string m_body;
+};
+
+} // namespace hickorylatch::net
+
+#endif
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,390 @@
+#include "net/http_server.hpp"
+
+#include "net/listener.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <new>
+#include <string>
+#include <utility>
+
+namespace hickorylatch::net
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+// Connections over the limit that may wait for their 503 before the listening
+// sockets are paused.
+constexpr auto refused_connections = std::size_t{64};
+
+constexpr auto pending_check_interval =
+    core::duration{std::chrono::milliseconds{250}};
+
+constexpr auto allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                 EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
+
+/// Exchange numbers are unique in the process, so that several servers can
+/// share one table of exchanges.
+auto next_exchange() -> core::exchange_id
+{
+    static auto last = std::atomic<core::exchange_id>{0};
+    return ++last;
+}
+
+auto method_name(evhttp_cmd_type method) -> std::string_view
+{
+    switch (method)
+    {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "";
+    }
+}
+
+auto remote_address(evhttp_connection* connection) -> std::string
+{
+    char* host = nullptr;
+    auto port = ev_uint16_t{0};
+    evhttp_connection_get_peer(connection, &host, &port);
+    if (host == nullptr)
+        return {};
+    auto const text = std::string{host};
+    auto const is_v6 = text.find(':') != std::string::npos;
+    return (is_v6 ? "[" + text + "]" : text) + ":" + std::to_string(port);
+}
+
+auto to_request(evhttp_request* source) -> http_request
+{
+    auto request = http_request{};
+    request.m_method = method_name(evhttp_request_get_command(source));
+    auto const* const uri = evhttp_request_get_evhttp_uri(source);
+    if (auto const* const path = evhttp_uri_get_path(uri))
+        request.m_path = path;
+    if (auto const* const query = evhttp_uri_get_query(uri))
+        request.m_query = query;
+    auto const* const headers = evhttp_request_get_input_headers(source);
+    for (auto const* header = headers->tqh_first; header != nullptr;
+         header = header->next.tqe_next)
+        request.m_headers.emplace_back(header->key, header->value);
+    auto* const body = evhttp_request_get_input_buffer(source);
+    request.m_body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, request.m_body.data(), request.m_body.size());
+    request.m_remote = remote_address(evhttp_request_get_connection(source));
+    return request;
+}
+
+auto is_released(bufferevent* connection) -> bool
+{
+    bufferevent_event_cb event_callback = nullptr;
+    bufferevent_getcb(connection, nullptr, nullptr, &event_callback, nullptr);
+    return event_callback == nullptr;
+}
+
+} // namespace
+
+struct http_server::open_exchange
+{
+    http_server& m_server;
+    core::exchange_id m_id = 0;
+    evhttp_request* m_request = nullptr;
+    /// Fires when the client closes. evhttp itself stops reading while a
+    /// request is handled and would not notice.
+    event_handle m_closed = nullptr;
+};
+
+/// A reference keeps the connection valid until it sends a request. evhttp
+/// offers no callback for a connection that ends before that.
+struct http_server::pending_connection
+{
+    struct release
+    {
+        auto operator()(bufferevent* handle) const noexcept -> void
+        {
+            bufferevent_decref(handle);
+        }
+    };
+    std::unique_ptr<bufferevent, release> m_connection;
+    core::time_point m_deadline{0};
+};
+
+auto evhttp_deleter::operator()(evhttp* handle) const noexcept -> void
+{
+    evhttp_free(handle);
+}
+
+http_server::http_server(event_loop& loop, http_server_settings settings,
+                         handler handle)
+    : m_loop{loop}, m_settings{settings}, m_handler{std::move(handle)},
+      m_http{evhttp_new(loop.base())}, m_pending_check{loop, [this]
+                                                       {
+                                                           check_pending();
+                                                       }}
+{
+    if (!m_http)
+        throw std::bad_alloc{};
+    auto* const http = m_http.get();
+    evhttp_set_allowed_methods(http, allowed_methods);
+    evhttp_set_default_content_type(http, nullptr);
+    evhttp_set_max_body_size(http,
+                             static_cast<ev_ssize_t>(m_settings.m_body_limit));
+    evhttp_set_max_headers_size(
+        http, static_cast<ev_ssize_t>(m_settings.m_header_limit));
+    auto const timeout = m_settings.m_read_timeout.count();
+    auto const interval =
+        timeval{static_cast<time_t>(timeout / 1'000'000),
+                static_cast<suseconds_t>(timeout % 1'000'000)};
+    evhttp_set_timeout_tv(http, &interval);
+    // Reads a refused body to its end, or the client might see a reset
+    // connection instead of the 413.
+    evhttp_set_flags(http, EVHTTP_SERVER_LINGERING_CLOSE);
+    evhttp_set_bevcb(
+        http,
+        [](event_base*, void* self)
+        {
+            return static_cast<http_server*>(self)->add_connection();
+        },
+        this);
+    evhttp_set_gencb(
+        http,
+        [](evhttp_request* request, void* self)
+        {
+            static_cast<http_server*>(self)->handle_request(request);
+        },
+        this);
+}
+
+http_server::~http_server()
+{
+    for (auto const& [connection, state] : m_connections)
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    m_exchanges.clear();
+}
+
+auto http_server::listen(std::string_view address)
+    -> leaf::result<std::uint16_t>
+{
+    BOOST_LEAF_AUTO(listener, open_listener(m_loop, address));
+    auto const port = bound_address(listener.get()).port();
+    auto* const bound = evhttp_bind_listener(m_http.get(), listener.get());
+    if (bound == nullptr)
+        throw std::bad_alloc{};
+    // The server owns the listener from here on.
+    static_cast<void>(listener.release());
+    m_listeners.push_back(bound);
+    return port;
+}
+
+auto http_server::stop_accepting() -> void
+{
+    m_is_stopping = true;
+    for (auto* const listener : std::exchange(m_listeners, {}))
+        evhttp_del_accept_socket(m_http.get(), listener);
+}
+
+auto http_server::answer(core::exchange_id exchange, std::uint16_t status,
+                         http_headers const& headers, std::string_view body)
+    -> void
+{
+    auto const found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    auto* const request = found->second->m_request;
+    m_exchanges.erase(found);
+    auto* const output = evhttp_request_get_output_headers(request);
+    for (auto const& [name, value] : headers)
+        evhttp_add_header(output, name.c_str(), value.c_str());
+    if (m_is_stopping)
+        evhttp_add_header(output, "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+                 body.size());
+    evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+auto http_server::abort(core::exchange_id exchange, std::string_view raw_bytes)
+    -> void
+{
+    auto const found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    auto* const connection =
+        evhttp_request_get_connection(found->second->m_request);
+    m_exchanges.erase(found);
+    auto const socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    // Sent directly, because freeing the connection drops its output.
+    if (!raw_bytes.empty())
+        ::send(socket, raw_bytes.data(), raw_bytes.size(), MSG_NOSIGNAL);
+    evhttp_connection_free(connection);
+}
+
+auto http_server::open_exchanges() const -> std::size_t
+{
+    return m_exchanges.size();
+}
+
+auto http_server::connections() const -> std::size_t
+{
+    return m_connections.size() + m_pending.size();
+}
+
+auto http_server::exchange_abandoned() -> sigc::signal<void(core::exchange_id)>&
+{
+    return m_exchange_abandoned;
+}
+
+auto http_server::add_connection() -> bufferevent*
+{
+    // evhttp closes the socket itself, even while the reference is kept.
+    auto* const connection = bufferevent_socket_new(m_loop.base(), -1, 0);
+    if (connection == nullptr)
+        return nullptr;
+    bufferevent_incref(connection);
+    auto pending = pending_connection{};
+    pending.m_connection.reset(connection);
+    pending.m_deadline = m_loop.now() + m_settings.m_read_timeout;
+    m_pending.push_back(std::move(pending));
+    if (!m_pending_check.is_running())
+        m_pending_check.start(pending_check_interval);
+    update_listeners();
+    return connection;
+}
+
+auto http_server::handle_request(evhttp_request* request) -> void
+{
+    auto* const connection = evhttp_request_get_connection(request);
+    track(connection);
+    auto& state = m_connections.at(connection);
+    if (!state.m_is_served)
+    {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Connection", "close");
+        evhttp_send_reply(request, HTTP_SERVUNAVAIL, nullptr, nullptr);
+        return;
+    }
+    auto exchange = std::make_unique<open_exchange>(
+        open_exchange{*this, next_exchange(), request});
+    auto const socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    auto const closed = [](evutil_socket_t, short, void* self)
+    {
+        auto const& exchange = *static_cast<open_exchange*>(self);
+        exchange.m_server.client_closed(exchange.m_id);
+    };
+    exchange->m_closed.reset(
+        event_new(m_loop.base(), socket, EV_CLOSED, closed, exchange.get()));
+    if (!exchange->m_closed)
+        throw std::bad_alloc{};
+    event_add(exchange->m_closed.get(), nullptr);
+    auto arrived = to_request(request);
+    arrived.m_exchange = exchange->m_id;
+    state.m_exchange = exchange->m_id;
+    m_exchanges.emplace(exchange->m_id, std::move(exchange));
+    m_handler(std::move(arrived));
+}
+
+auto http_server::track(evhttp_connection* connection) -> void
+{
+    if (m_connections.contains(connection))
+        return;
+    auto* const stream = evhttp_connection_get_bufferevent(connection);
+    auto const enabled = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &enabled,
+               sizeof enabled);
+    std::erase_if(m_pending,
+                  [&](auto const& pending)
+                  {
+                      return pending.m_connection.get() == stream;
+                  });
+    auto const is_served = m_served < m_settings.m_connection_limit;
+    m_served += is_served ? 1 : 0;
+    m_connections.emplace(connection, connection_state{is_served});
+    evhttp_connection_set_closecb(
+        connection,
+        [](evhttp_connection* closed, void* self)
+        {
+            static_cast<http_server*>(self)->connection_closed(closed);
+        },
+        this);
+}
+
+auto http_server::connection_closed(evhttp_connection* connection) -> void
+{
+    auto const found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return;
+    auto const state = found->second;
+    m_connections.erase(found);
+    m_served -= state.m_is_served ? 1 : 0;
+    update_listeners();
+    if (m_exchanges.erase(state.m_exchange) > 0)
+        m_exchange_abandoned.emit(state.m_exchange);
+}
+
+auto http_server::client_closed(core::exchange_id exchange) -> void
+{
+    abort(exchange);
+    m_exchange_abandoned.emit(exchange);
+}
+
+auto http_server::check_pending() -> void
+{
+    auto const now = m_loop.now();
+    std::erase_if(m_pending,
+                  [](auto const& pending)
+                  {
+                      return is_released(pending.m_connection.get());
+                  });
+    // Makes evhttp close connections that are too slow with their request.
+    for (auto const& pending : m_pending)
+    {
+        if (pending.m_deadline <= now)
+            bufferevent_trigger_event(pending.m_connection.get(),
+                                      BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
+                                      BEV_TRIG_DEFER_CALLBACKS);
+    }
+    if (!m_pending.empty())
+        m_pending_check.start(pending_check_interval);
+    update_listeners();
+}
+
+auto http_server::update_listeners() -> void
+{
+    auto const is_full =
+        connections() >= m_settings.m_connection_limit + refused_connections;
+    if (is_full == std::exchange(m_is_paused, is_full))
+        return;
+    for (auto* const listener : m_listeners)
+    {
+        auto* const socket = evhttp_bound_socket_get_listener(listener);
+        is_full ? evconnlistener_disable(socket)
+                : evconnlistener_enable(socket);
+    }
+}
+
+} // namespace hickorylatch::net
--- /dev/null
+++ b/src/net/peer_links.cpp
@@ -0,0 +1,425 @@
+#include "net/peer_links.hpp"
+
+#include "net/error.hpp"
+#include "wire/codec.hpp"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <openssl/crypto.h>
+
+#include <algorithm>
+#include <new>
+#include <utility>
+
+namespace hickorylatch::net
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+// A peer that has not shown the secret can't make this process buffer more.
+constexpr auto hello_frame_limit = std::size_t{64} << 10U;
+
+// Two nodes that open links to each other at the same time see them get ready
+// in different orders; within this time both keep the one opened by the
+// smaller node id instead of the newer one.
+constexpr auto simultaneous_open = core::duration{std::chrono::seconds{2}};
+
+auto is_same_secret(std::string_view left, std::string_view right) -> bool
+{
+    return left.size() == right.size() &&
+           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+/// Why a hello is refused; empty if it is not.
+auto hello_fault(core::hello const& own, core::hello const& peer)
+    -> std::string_view
+{
+    if (!is_same_secret(own.m_secret, peer.m_secret))
+        return "wrong secret";
+    if (own.m_cluster != 0 && peer.m_cluster != 0 &&
+        own.m_cluster != peer.m_cluster)
+        return "wrong cluster";
+    if (peer.m_node == core::no_node)
+        return "hello without a node id";
+    return {};
+}
+
+} // namespace
+
+struct peer_links::link_state
+{
+    link_id m_id = 0;
+    /// Address of the other side; for an outgoing link that of its target.
+    std::string m_remote;
+    bool m_is_outgoing = false;
+    /// Set once the peer's hello was accepted.
+    std::optional<core::hello> m_peer = std::nullopt;
+    core::time_point m_ready_at{0};
+    /// Another link to the same node is used; the peer closes this one.
+    bool m_is_superseded = false;
+    std::unique_ptr<peer_link> m_link;
+    timer m_hello_timer;
+};
+
+struct peer_links::target_state
+{
+    std::string m_address;
+    link_id m_link = 0;
+    /// Node that last said hello from this address.
+    core::node_id m_node = core::no_node;
+    /// The address is this process's own.
+    bool m_is_self = false;
+    bool m_is_failure_logged = false;
+    core::duration m_backoff;
+    timer m_redial;
+};
+
+peer_links::peer_links(event_loop& loop, peer_links_settings settings)
+    : m_loop{loop}, m_settings{std::move(settings)},
+      m_random{static_cast<std::uint64_t>(m_settings.m_hello.m_node)},
+      m_cleanup{loop, [this]
+                {
+                    std::erase_if(m_links,
+                                  [](auto const& item)
+                                  {
+                                      return item.second->m_link->is_closed();
+                                  });
+                }}
+{
+}
+
+peer_links::~peer_links() = default;
+
+auto peer_links::listen(std::string_view address) -> leaf::result<void>
+{
+    BOOST_LEAF_ASSIGN(m_listener, open_listener(m_loop, address));
+    auto const accepted = [](evconnlistener*, evutil_socket_t socket,
+                             sockaddr* remote, int size, void* self)
+    {
+        static_cast<peer_links*>(self)->accept(
+            socket, {remote, static_cast<socklen_t>(size)});
+    };
+    evconnlistener_set_cb(m_listener.get(), accepted, this);
+    return {};
+}
+
+auto peer_links::port() const -> std::uint16_t
+{
+    return m_listener ? bound_address(m_listener.get()).port() : 0;
+}
+
+auto peer_links::keep(std::span<std::string const> addresses) -> void
+{
+    auto removed = std::vector<link_id>{};
+    for (auto const& [address, target] : m_targets)
+    {
+        if (std::ranges::find(addresses, address) == addresses.end())
+            removed.push_back(target->m_link);
+    }
+    std::erase_if(m_targets,
+                  [&](auto const& item)
+                  {
+                      return std::ranges::find(addresses, item.first) ==
+                             addresses.end();
+                  });
+    for (auto const& address : addresses)
+    {
+        if (m_targets.contains(address))
+            continue;
+        auto target = std::unique_ptr<target_state>{
+            new target_state{.m_address = address,
+                             .m_backoff = m_settings.m_backoff_min,
+                             .m_redial{m_loop, [this, address]
+                                       {
+                                           dial(address);
+                                       }}}};
+        target->m_redial.start(core::duration{0});
+        m_targets.emplace(address, std::move(target));
+    }
+    for (auto const id : removed)
+        fail(id, "no longer wanted");
+}
+
+auto peer_links::send(core::node_id to, core::message const& message) -> void
+{
+    auto const found = m_by_node.find(to);
+    if (found == m_by_node.end())
+        return;
+    auto& link = *m_links.at(found->second)->m_link;
+    link.send_frame(wire::encode(message));
+    if (link.unsent() > m_settings.m_output_limit)
+        fail(found->second, "unsent bytes over the limit");
+}
+
+auto peer_links::set_cluster(std::uint64_t cluster) -> void
+{
+    m_settings.m_hello.m_cluster = cluster;
+}
+
+auto peer_links::unsent() const -> std::size_t
+{
+    auto total = std::size_t{0};
+    for (auto const& [id, link] : m_links)
+        total += link->m_link->unsent();
+    return total;
+}
+
+auto peer_links::peer_connected() -> sigc::signal<void(core::hello const&)>&
+{
+    return m_peer_connected;
+}
+
+auto peer_links::peer_disconnected() -> sigc::signal<void(core::node_id)>&
+{
+    return m_peer_disconnected;
+}
+
+auto peer_links::message_received()
+    -> sigc::signal<void(core::node_id, core::message const&)>&
+{
+    return m_message_received;
+}
+
+auto peer_links::line_logged() -> sigc::signal<void(core::log_line const&)>&
+{
+    return m_line_logged;
+}
+
+auto peer_links::accept(int socket, socket_address const& remote) -> void
+{
+    auto& link = add_link(socket, remote.text(), false);
+    if (!m_settings.m_tls)
+        link.m_link->start();
+}
+
+auto peer_links::dial(std::string const& address) -> void
+{
+    auto const found = m_targets.find(address);
+    if (found == m_targets.end())
+        return;
+    auto& target = *found->second;
+    if (target.m_link != 0 || target.m_is_self ||
+        m_by_node.contains(target.m_node))
+        return;
+    auto const parse = [&]() -> leaf::result<std::optional<socket_address>>
+    {
+        BOOST_LEAF_AUTO(parsed, socket_address::parse(address));
+        return std::optional{parsed};
+    };
+    auto const parsed =
+        leaf::try_handle_all(parse,
+                             []
+                             {
+                                 return std::optional<socket_address>{};
+                             });
+    if (!parsed)
+    {
+        return log(core::log_level::error, "link_failed", address,
+                   "address is not of the form ip:port");
+    }
+    auto& link = add_link(-1, address, true);
+    target.m_link = link.m_id;
+    link.m_link->connect(*parsed);
+}
+
+auto peer_links::add_link(int socket, std::string remote, bool is_outgoing)
+    -> link_state&
+{
+    auto connection = bufferevent_handle{bufferevent_socket_new(
+        m_loop.base(), socket,
+        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)};
+    if (!connection)
+        throw std::bad_alloc{};
+    auto const id = ++m_last_id;
+    auto handlers = peer_link_handlers{.m_opened =
+                                           [this, id]
+                                       {
+                                           opened(id);
+                                       },
+                                       .m_frame_received =
+                                           [this, id](std::string_view body)
+                                       {
+                                           frame_received(id, body);
+                                       },
+                                       .m_failed =
+                                           [this, id](std::string_view cause)
+                                       {
+                                           fail(id, cause);
+                                       }};
+    auto state = std::unique_ptr<link_state>{new link_state{
+        .m_id = id,
+        .m_remote = std::move(remote),
+        .m_is_outgoing = is_outgoing,
+        .m_link = std::make_unique<peer_link>(
+            std::move(connection), hello_frame_limit, std::move(handlers)),
+        .m_hello_timer{m_loop, [this, id]
+                       {
+                           fail(id, "no hello in time");
+                       }}}};
+    state->m_hello_timer.start(m_settings.m_hello_timeout);
+    return *m_links.emplace(id, std::move(state)).first->second;
+}
+
+auto peer_links::opened(link_id id) -> void
+{
+    // The accepting side speaks second, so it never shows the secret to a
+    // stranger.
+    auto& link = *m_links.at(id);
+    if (link.m_is_outgoing)
+        link.m_link->send_frame(wire::encode(m_settings.m_hello));
+}
+
+auto peer_links::frame_received(link_id id, std::string_view body) -> void
+{
+    auto& link = *m_links.at(id);
+    if (link.m_is_superseded)
+        return;
+    auto const decode = [body]() -> leaf::result<std::optional<core::message>>
+    {
+        BOOST_LEAF_AUTO(decoded, wire::decode_message(body));
+        return std::optional{std::move(decoded)};
+    };
+    auto const report = [&](wire::decode_error const& failure)
+    {
+        fail(id, "undecodable message: " + failure.m_reason);
+        return std::optional<core::message>{};
+    };
+    auto const report_unknown = [&]
+    {
+        fail(id, "undecodable message");
+        return std::optional<core::message>{};
+    };
+    auto const message = leaf::try_handle_all(decode, report, report_unknown);
+    if (!message)
+        return;
+    if (!link.m_peer)
+        return hello_received(link, *message);
+    if (std::holds_alternative<core::hello>(*message))
+        return fail(id, "unexpected hello");
+    m_message_received.emit(link.m_peer->m_node, *message);
+}
+
+auto peer_links::hello_received(link_state& link, core::message const& first)
+    -> void
+{
+    auto const* const peer = std::get_if<core::hello>(&first);
+    if (peer == nullptr)
+        return fail(link.m_id, "first message is not a hello");
+    if (auto const fault = hello_fault(m_settings.m_hello, *peer);
+        !fault.empty())
+        return fail(link.m_id, fault);
+    if (!link.m_is_outgoing)
+        link.m_link->send_frame(wire::encode(m_settings.m_hello));
+    auto const target =
+        m_targets.find(link.m_is_outgoing ? link.m_remote : peer->m_address);
+    auto const is_self = peer->m_node == m_settings.m_hello.m_node;
+    if (target != m_targets.end())
+    {
+        target->second->m_node = peer->m_node;
+        target->second->m_is_self = is_self;
+        target->second->m_backoff = m_settings.m_backoff_min;
+        target->second->m_is_failure_logged = false;
+    }
+    if (is_self || !replace_older(link, peer->m_node))
+    {
+        // The side that opened the link closes it once it has read the hello
+        // and so knows that it needs none.
+        if (link.m_is_outgoing)
+            drop(link.m_id);
+        link.m_is_superseded = true;
+        return;
+    }
+    link.m_hello_timer.stop();
+    link.m_link->set_frame_limit(m_settings.m_frame_limit);
+    link.m_peer = *peer;
+    link.m_ready_at = m_loop.now();
+    m_by_node[peer->m_node] = link.m_id;
+    m_peer_connected.emit(*peer);
+}
+
+auto peer_links::replace_older(link_state& link, core::node_id node) -> bool
+{
+    auto const found = m_by_node.find(node);
+    if (found == m_by_node.end())
+        return true;
+    auto const& older = *m_links.at(found->second);
+    auto const own = m_settings.m_hello.m_node;
+    if (older.m_is_outgoing != link.m_is_outgoing &&
+        m_loop.now() - older.m_ready_at < simultaneous_open &&
+        (link.m_is_outgoing ? own : node) == std::max(own, node))
+        return false;
+    drop(found->second);
+    return true;
+}
+
+auto peer_links::fail(link_id id, std::string_view cause) -> void
+{
+    auto const found = m_links.find(id);
+    if (found == m_links.end())
+        return;
+    auto& link = *found->second;
+    auto const target = m_targets.find(link.m_remote);
+    auto const is_repeated =
+        link.m_is_outgoing && target != m_targets.end() &&
+        std::exchange(target->second->m_is_failure_logged, true);
+    if (!link.m_is_superseded)
+    {
+        log(is_repeated ? core::log_level::debug : core::log_level::warning,
+            "link_closed", link.m_remote, cause);
+    }
+    drop(id);
+    auto const node = link.m_peer ? link.m_peer->m_node : core::no_node;
+    auto const current = m_by_node.find(node);
+    if (current == m_by_node.end() || current->second != id)
+        return;
+    m_by_node.erase(current);
+    for (auto const& [address, other] : m_targets)
+        schedule_dial(*other);
+    m_peer_disconnected.emit(node);
+}
+
+auto peer_links::drop(link_id id) -> void
+{
+    auto& link = *m_links.at(id);
+    link.m_link->close();
+    link.m_hello_timer.stop();
+    m_cleanup.start(core::duration{0});
+    if (link.m_is_outgoing)
+        release_target(link);
+}
+
+auto peer_links::release_target(link_state const& link) -> void
+{
+    auto const target = m_targets.find(link.m_remote);
+    if (target == m_targets.end() || target->second->m_link != link.m_id)
+        return;
+    target->second->m_link = 0;
+    schedule_dial(*target->second);
+}
+
+auto peer_links::schedule_dial(target_state& target) -> void
+{
+    if (target.m_link != 0 || target.m_is_self || target.m_redial.is_running())
+        return;
+    auto jitter = std::uniform_int_distribution<core::duration::rep>{
+        target.m_backoff.count() / 2, target.m_backoff.count()};
+    target.m_redial.start(core::duration{jitter(m_random)});
+    target.m_backoff = std::min(target.m_backoff * 2, m_settings.m_backoff_max);
+}
+
+auto peer_links::log(core::log_level level, std::string_view event,
+                     std::string_view remote, std::string_view cause) -> void
+{
+    m_line_logged.emit(core::log_line{
+        level,
+        std::string{event},
+        {{"remote", std::string{remote}}, {"cause", std::string{cause}}}});
+}
+
+} // namespace hickorylatch::net
--- /dev/null
+++ b/src/net/peer_links.hpp
@@ -0,0 +1,123 @@
+#ifndef HICKORYLATCH_NET_PEER_LINKS_HPP
+#define HICKORYLATCH_NET_PEER_LINKS_HPP
+
+#include "core/effect.hpp"
+#include "core/message.hpp"
+#include "net/event_loop.hpp"
+#include "net/listener.hpp"
+#include "net/peer_link.hpp"
+#include "net/timer.hpp"
+
+#include <boost/leaf/result.hpp>
+#include <sigc++/signal.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace hickorylatch::net
+{
+
+class tls_context;
+
+struct peer_links_settings
+{
+    /// What this process says on each link.
+    core::hello m_hello;
+    /// Limit of one frame's body, in bytes.
+    std::size_t m_frame_limit = std::size_t{64} << 20U;
+    /// A link with more unsent bytes than this is closed.
+    std::size_t m_output_limit = std::size_t{256} << 20U;
+    /// From opening a connection to the peer's hello.
+    core::duration m_hello_timeout = std::chrono::seconds{5};
+    /// Delay before a broken link is opened again; doubles after each failure.
+    core::duration m_backoff_min = std::chrono::milliseconds{50};
+    core::duration m_backoff_max = std::chrono::seconds{1};
+    /// Encrypts and authenticates all links if set.
+    std::shared_ptr<tls_context const> m_tls;
+};
+
+/// Links to other processes, addressed by `node_id`. There is at most one link
+/// to a node that signals report. Objects connected to the signals must not
+/// destroy this object from within a signal.
+class peer_links
+{
+public:
+    peer_links(event_loop& loop, peer_links_settings settings);
+    peer_links(peer_links const&) = delete;
+    auto operator=(peer_links const&) -> peer_links& = delete;
+    ~peer_links();
+
+    /// Accepts links on an address; port 0 lets the kernel choose.
+    [[nodiscard]] auto listen(std::string_view address)
+        -> boost::leaf::result<void>;
+    /// Port of the listening address; 0 before `listen`.
+    [[nodiscard]] auto port() const -> std::uint16_t;
+    /// Keeps a link open to each of these addresses and closes outgoing links
+    /// to any other.
+    auto keep(std::span<std::string const> addresses) -> void;
+    /// Sends a message, or loses it if there is no link to the node.
+    auto send(core::node_id to, core::message const& message) -> void;
+    /// Sets the control group's identity said in later hellos; 0 for none.
+    auto set_cluster(std::uint64_t cluster) -> void;
+    /// Bytes on all links that the kernel has not taken yet.
+    [[nodiscard]] auto unsent() const -> std::size_t;
+
+    /// A link is ready for messages. Comes again without a disconnect when a
+    /// newer link to the same node replaces the older one.
+    auto peer_connected() -> sigc::signal<void(core::hello const&)>&;
+    auto peer_disconnected() -> sigc::signal<void(core::node_id)>&;
+    auto message_received()
+        -> sigc::signal<void(core::node_id, core::message const&)>&;
+    auto line_logged() -> sigc::signal<void(core::log_line const&)>&;
+
+private:
+    using link_id = std::uint64_t;
+    struct link_state;
+    struct target_state;
+
+    auto accept(int socket, socket_address const& remote) -> void;
+    auto dial(std::string const& address) -> void;
+    auto add_link(int socket, std::string remote, bool is_outgoing)
+        -> link_state&;
+    auto opened(link_id id) -> void;
+    auto frame_received(link_id id, std::string_view body) -> void;
+    auto hello_received(link_state& link, core::message const& first) -> void;
+    auto replace_older(link_state& link, core::node_id node) -> bool;
+    /// Closes a link, logs the cause and reports the node as disconnected if
+    /// this was its link.
+    auto fail(link_id id, std::string_view cause) -> void;
+    /// Closes a link without a log line or signal.
+    auto drop(link_id id) -> void;
+    auto release_target(link_state const& link) -> void;
+    auto schedule_dial(target_state& target) -> void;
+    auto log(core::log_level level, std::string_view event,
+             std::string_view remote, std::string_view cause) -> void;
+
+    event_loop& m_loop;
+    peer_links_settings m_settings;
+    std::mt19937_64 m_random;
+    listener_handle m_listener;
+    link_id m_last_id = 0;
+    std::unordered_map<link_id, std::unique_ptr<link_state>> m_links;
+    std::unordered_map<core::node_id, link_id> m_by_node;
+    std::map<std::string, std::unique_ptr<target_state>, std::less<>> m_targets;
+    /// Destroys closed links outside their own callbacks.
+    timer m_cleanup;
+
+    sigc::signal<void(core::hello const&)> m_peer_connected;
+    sigc::signal<void(core::node_id)> m_peer_disconnected;
+    sigc::signal<void(core::node_id, core::message const&)> m_message_received;
+    sigc::signal<void(core::log_line const&)> m_line_logged;
+};
+
+} // namespace hickorylatch::net
+
+#endif
--- /dev/null
+++ b/src/net/timer.hpp
@@ -0,0 +1,36 @@
+#ifndef HICKORYLATCH_NET_TIMER_HPP
+#define HICKORYLATCH_NET_TIMER_HPP
+
+#include "core/time.hpp"
+#include "net/event_loop.hpp"
+
+#include <functional>
+
+namespace hickorylatch::net
+{
+
+/// Calls a function once, a given time after it was started.
+class timer
+{
+public:
+    timer(event_loop& loop, std::function<void()> fired);
+    timer(timer const&) = delete;
+    auto operator=(timer const&) -> timer& = delete;
+    ~timer() = default;
+
+    /// Starts or restarts the timer. A negative delay counts as zero.
+    auto start(core::duration delay) -> void;
+    /// Starts the timer for a time on the loop's clock; `core::never` stops it.
+    auto start_at(core::time_point when) -> void;
+    auto stop() -> void;
+    [[nodiscard]] auto is_running() const -> bool;
+
+private:
+    event_loop& m_loop;
+    std::function<void()> m_fired;
+    event_handle m_event;
+};
+
+} // namespace hickorylatch::net
+
+#endif
--- /dev/null
+++ b/tests/net/raw_socket.hpp
@@ -0,0 +1,31 @@
+#ifndef HICKORYLATCH_TESTS_NET_RAW_SOCKET_HPP
+#define HICKORYLATCH_TESTS_NET_RAW_SOCKET_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// A plain TCP client on loopback that can send any bytes.
+class raw_socket
+{
+public:
+    explicit raw_socket(std::uint16_t port);
+    raw_socket(raw_socket const&) = delete;
+    auto operator=(raw_socket const&) -> raw_socket& = delete;
+    ~raw_socket();
+
+    auto send(std::string_view bytes) -> void;
+    /// Reads what has arrived, without waiting.
+    auto poll() -> void;
+    auto close() -> void;
+    auto received() const -> std::string const&;
+    /// The other side closed or reset the connection.
+    auto is_closed() const -> bool;
+
+private:
+    int m_socket;
+    std::string m_received;
+    bool m_is_closed = false;
+};
+
+#endif
--- /dev/null
+++ b/tests/net/test_peer_links.cpp
@@ -0,0 +1,338 @@
+#include "net/error.hpp"
+#include "net/frame_buffer.hpp"
+#include "net/loop_runner.hpp"
+#include "net/peer_links.hpp"
+#include "net/raw_socket.hpp"
+#include "wire/codec.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace core = hickorylatch::core;
+namespace leaf = boost::leaf;
+namespace net = hickorylatch::net;
+namespace wire = hickorylatch::wire;
+
+namespace
+{
+
+auto settings(std::uint64_t node) -> net::peer_links_settings
+{
+    auto made = net::peer_links_settings{};
+    made.m_hello.m_node = core::node_id{node};
+    made.m_hello.m_secret = "secret";
+    return made;
+}
+
+/// Peer links with a record of what they reported.
+struct node
+{
+    explicit node(net::event_loop& loop, net::peer_links_settings made)
+        : m_links{loop, std::move(made)}
+    {
+        m_links.peer_connected().connect(
+            [this](core::hello const& peer)
+            {
+                m_connected.push_back(peer.m_node);
+            });
+        m_links.peer_disconnected().connect(
+            [this](core::node_id peer)
+            {
+                m_disconnected.push_back(peer);
+            });
+        m_links.message_received().connect(
+            [this](core::node_id, core::message const& message)
+            {
+                m_received.push_back(
+                    std::get<core::cancel>(message).m_sequence);
+            });
+        m_links.line_logged().connect(
+            [this](core::log_line const& line)
+            {
+                m_causes.push_back(line.m_fields.at(1).second);
+            });
+        leaf::try_handle_all(
+            [&]
+            {
+                return m_links.listen("127.0.0.1:0");
+            },
+            []
+            {
+                BOOST_FAIL("cannot listen");
+            });
+    }
+
+    auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_links.port());
+    }
+
+    auto keep(std::vector<std::string> const& addresses) -> void
+    {
+        m_links.keep(addresses);
+    }
+
+    std::vector<core::node_id> m_connected;
+    std::vector<core::node_id> m_disconnected;
+    std::vector<std::uint64_t> m_received;
+    std::vector<std::string> m_causes;
+    net::peer_links m_links;
+};
+
+auto frame(core::message const& message) -> std::string
+{
+    auto const body = wire::encode(message);
+    auto const header = net::frame_header(body.size());
+    return std::string{header.data(), header.size()} + body;
+}
+
+/// Sends bytes to a fresh link and returns the one logged cause of its end.
+auto cause_of_close(std::string_view bytes, bool is_closed_by_client = false)
+    -> std::string
+{
+    auto loop = net::event_loop{};
+    auto server = node{loop, settings(1)};
+    auto client = raw_socket{server.m_links.port()};
+    client.send(bytes);
+    if (is_closed_by_client)
+        client.close();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_causes.empty();
+                         }));
+    BOOST_TEST(server.m_connected.empty());
+    BOOST_TEST(server.m_causes.size() == 1U);
+    return server.m_causes.empty() ? "" : server.m_causes.front();
+}
+
+} // namespace
+
+// Guards against lost or misrouted messages between connected nodes.
+BOOST_AUTO_TEST_CASE(messages_travel_both_ways)
+{
+    auto loop = net::event_loop{};
+    auto server = node{loop, settings(1)};
+    auto client = node{loop, settings(2)};
+    client.keep({server.address()});
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_connected.empty() &&
+                                    !client.m_connected.empty();
+                         }));
+    for (auto number = std::uint64_t{1}; number <= 100; ++number)
+    {
+        client.m_links.send(core::node_id{1}, core::cancel{number});
+        server.m_links.send(core::node_id{2}, core::cancel{number});
+    }
+    client.m_links.send(core::node_id{9}, core::cancel{1});
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return server.m_received.size() == 100 &&
+                                    client.m_received.size() == 100;
+                         }));
+    BOOST_TEST(server.m_received.back() == 100U);
+}
+
+// Guards against a link that does not come back after its peer restarts.
+BOOST_AUTO_TEST_CASE(broken_link_is_reported_and_opened_again)
+{
+    auto loop = net::event_loop{};
+    auto client = node{loop, settings(2)};
+    auto server = std::make_unique<node>(loop, settings(1));
+    auto const address = server->address();
+    client.keep({address});
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !client.m_connected.empty();
+                         }));
+    server.reset();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !client.m_disconnected.empty();
+                         }));
+    auto revived = net::peer_links{loop, settings(3)};
+    leaf::try_handle_all(
+        [&]
+        {
+            return revived.listen(address);
+        },
+        []
+        {
+            BOOST_FAIL("cannot listen");
+        });
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return client.m_connected.size() == 2U;
+                         }));
+    BOOST_TEST((client.m_connected.back() == core::node_id{3}));
+}
+
+// Guards against two nodes that open links to each other and each drop the
+// one that the other keeps.
+BOOST_AUTO_TEST_CASE(crossed_links_leave_one_that_works)
+{
+    auto loop = net::event_loop{};
+    auto first = node{loop, settings(1)};
+    auto second = node{loop, settings(2)};
+    first.keep({first.address(), second.address()});
+    second.keep({first.address(), second.address()});
+    auto sent = std::uint64_t{0};
+    auto const exchanged = [&]
+    {
+        first.m_links.send(core::node_id{2}, core::cancel{++sent});
+        second.m_links.send(core::node_id{1}, core::cancel{sent});
+        return first.m_received.size() > 20 && second.m_received.size() > 20;
+    };
+    BOOST_TEST(run_until(loop, exchanged));
+    BOOST_TEST(first.m_disconnected.empty());
+    BOOST_TEST(second.m_disconnected.empty());
+}
+
+// Guards against an older link to a node that keeps a restarted peer away, and
+// against a disconnect reported for a node that is connected.
+BOOST_AUTO_TEST_CASE(newer_link_replaces_the_older_one)
+{
+    auto loop = net::event_loop{};
+    auto server = node{loop, settings(1)};
+    auto const hello = frame(settings(2).m_hello);
+    auto older = raw_socket{server.m_links.port()};
+    older.send(hello);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return server.m_connected.size() == 1U;
+                         }));
+    auto newer = raw_socket{server.m_links.port()};
+    newer.send(hello + frame(core::cancel{7}));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_received.empty();
+                         }));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             older.poll();
+                             return older.is_closed();
+                         }));
+    BOOST_TEST(server.m_connected.size() == 2U);
+    BOOST_TEST(server.m_disconnected.empty());
+    newer.close();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_disconnected.empty();
+                         }));
+}
+
+// Guards against strangers and broken peers that get past the first frame.
+BOOST_AUTO_TEST_CASE(bad_first_bytes_close_the_link_with_one_line)
+{
+    auto stranger = settings(2).m_hello;
+    stranger.m_secret = "guess";
+    BOOST_TEST(cause_of_close(frame(stranger)) == "wrong secret");
+    BOOST_TEST(cause_of_close(frame(core::cancel{1})) ==
+               "first message is not a hello");
+    auto const body = std::string{"\0\0\0\x05xxxxx", 9};
+    BOOST_TEST(cause_of_close(body).starts_with("undecodable message"));
+    BOOST_TEST(cause_of_close("GET / HTTP/1.1\r\n\r\n")
+                   .ends_with("over the limit of 65536"));
+    BOOST_TEST(cause_of_close(body.substr(0, 6), true) ==
+               "closed by the peer in a frame");
+}
+
+// Guards against a node of another group, and against a group that was founded
+// after the process started.
+BOOST_AUTO_TEST_CASE(other_cluster_is_refused)
+{
+    auto loop = net::event_loop{};
+    auto server = node{loop, settings(1)};
+    auto client = node{loop, settings(2)};
+    client.m_links.set_cluster(5);
+    server.m_links.set_cluster(6);
+    client.keep({server.address()});
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_causes.empty();
+                         }));
+    BOOST_TEST(server.m_causes.front() == "wrong cluster");
+    server.m_links.set_cluster(0);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_connected.empty();
+                         }));
+}
+
+// Guards against a silent connection that is kept forever.
+BOOST_AUTO_TEST_CASE(missing_hello_times_out)
+{
+    auto loop = net::event_loop{};
+    auto made = settings(1);
+    made.m_hello_timeout = std::chrono::milliseconds{30};
+    auto server = node{loop, made};
+    auto const silent = raw_socket{server.m_links.port()};
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_causes.empty();
+                         }));
+    BOOST_TEST(server.m_causes.front() == "no hello in time");
+}
+
+// Guards against a peer that does not read and makes this process buffer
+// without bound.
+BOOST_AUTO_TEST_CASE(link_over_its_output_limit_is_closed)
+{
+    auto loop = net::event_loop{};
+    auto made = settings(1);
+    made.m_output_limit = 1'000;
+    auto server = node{loop, made};
+    auto peer = raw_socket{server.m_links.port()};
+    peer.send(frame(settings(2).m_hello));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_connected.empty();
+                         }));
+    auto const large =
+        core::install_snapshot{.m_data = std::string(2'000, 'x')};
+    server.m_links.send(core::node_id{2}, large);
+    BOOST_TEST(server.m_disconnected.size() == 1U);
+    BOOST_TEST(server.m_causes.size() == 1U);
+}
+
+// Guards against an unclear message when a port is taken.
+BOOST_AUTO_TEST_CASE(port_in_use_is_named)
+{
+    auto loop = net::event_loop{};
+    auto const server = node{loop, settings(1)};
+    auto other = net::peer_links{loop, settings(2)};
+    auto const text = leaf::try_handle_all(
+        [&]() -> leaf::result<std::string>
+        {
+            BOOST_LEAF_CHECK(other.listen(server.address()));
+            return std::string{};
+        },
+        [](net::error const& failure)
+        {
+            return failure.m_text;
+        },
+        []
+        {
+            return std::string{};
+        });
+    BOOST_TEST(text == "cannot listen on " + server.address() +
+                           ": Address already in use");
+}
