--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,145 @@
+#ifndef HICKORYLATCH_SETTINGS_SETTINGS_HPP
+#define HICKORYLATCH_SETTINGS_SETTINGS_HPP
+
+#include "core/effect.hpp"
+#include "core/message.hpp"
+#include "settings/parse_errors.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorylatch::settings
+{
+
+/// Where log lines go.
+struct log_settings
+{
+    /// Least severe level that is written. Default: info.
+    core::log_level m_level = core::log_level::info;
+    /// File that log lines are appended to. Default: empty, standard output.
+    std::string m_file;
+};
+
+/// Files for mutual TLS on the links between processes, in PEM form.
+struct tls_settings
+{
+    /// Certificate chain of this process. Required.
+    std::string m_certificate_file;
+    /// Private key of the certificate. Required.
+    std::string m_key_file;
+    /// Certificates of the authorities that peers must be signed by. Required.
+    std::string m_authority_file;
+};
+
+/// The entry role: callers' HTTP requests and operators' records.
+struct entry_settings
+{
+    /// "ip:port" where callers' requests are accepted. Required.
+    std::string m_callers_address;
+    /// "ip:port" of the operators' API. Required.
+    std::string m_operators_address;
+    /// Largest request body, in bytes. Default: 1 MiB. At least 64 KiB less
+    /// than the frame limit, because a body is forwarded in one frame.
+    std::uint32_t m_body_limit_bytes = 1'048'576;
+    /// Open callers' connections at most. Default: 1000.
+    std::uint32_t m_connection_limit = 1'000;
+    /// Time within which a request's headers must arrive, in milliseconds.
+    /// Default: 10000.
+    std::uint32_t m_header_timeout_ms = 10'000;
+};
+
+/// The control role: one replica of the replicated state.
+struct control_settings
+{
+    /// "ip:port" where other processes connect. Required.
+    std::string m_listen_address;
+    /// "ip:port" of metrics and health. Required.
+    std::string m_operators_address;
+    /// Folder of log, snapshots and identity. Required.
+    std::string m_data_folder;
+    /// Time that keys of ended submissions are kept, in hours. Default: 24.
+    std::uint32_t m_key_retention_hours = 24;
+    /// Keys kept at most. Default: 1000000.
+    std::uint32_t m_key_limit = 1'000'000;
+    /// Log entries between two snapshots. Default: 20000.
+    std::uint32_t m_snapshot_interval_entries = 20'000;
+    /// Syncs every write before it counts. Default: true. False is for tests
+    /// only: acceptances can be lost when a VM stops.
+    bool m_fsync = true;
+};
+
+/// The agent role: announces one endpoint or worker and gates its starts.
+struct agent_settings
+{
+    /// What it stands beside: "endpoint" or "worker". Required.
+    core::agent_kind m_kind = core::agent_kind::endpoint;
+    /// Service of the endpoint. Required for an endpoint, not allowed for a
+    /// worker, where it is set to `core::worker_service`.
+    std::string m_service;
+    /// "ip:port" where the endpoint or worker accepts HTTP calls. Required.
+    std::string m_target_address;
+    /// "ip:port" of metrics and health. Required.
+    std::string m_operators_address;
+    /// Calls in progress at once at most. Required for an endpoint; a worker's
+    /// default is its cores.
+    std::uint32_t m_slots = 0;
+    /// Processor cores of the worker. Required for a worker; default: 0.
+    std::uint32_t m_cores = 0;
+    /// Memory of the worker in MB. Required for a worker; default: 0.
+    std::uint32_t m_memory_mb = 0;
+    /// Accelerators of the worker. Default: 0.
+    std::uint32_t m_accelerators = 0;
+    /// Rack within the failure domain. Default: empty, unknown.
+    std::string m_rack;
+    /// Time after which a call counts as failed, in milliseconds. Default:
+    /// 30000.
+    std::uint32_t m_call_timeout_ms = 30'000;
+};
+
+/// Settings of one `hickorylatch serve` process. At least one role is set.
+struct settings
+{
+    /// Name of the process in logs, status and the list of drained ones.
+    /// Required.
+    std::string m_name;
+    /// Failure domain that the process is in. Required.
+    std::string m_failure_domain;
+    /// "ip:port" of the control replicas to connect to first. Required.
+    std::vector<std::string> m_control_addresses;
+    /// Secret shared by all processes. Default: empty, allowed only if every
+    /// address in the settings is a loopback address.
+    std::string m_secret;
+    /// File whose first line is the secret; excludes `m_secret`. Read by the
+    /// program. Default: empty.
+    std::string m_secret_file;
+    /// Largest frame between processes, in bytes. Default: 8 MiB.
+    std::uint32_t m_frame_limit_bytes = 8'388'608;
+    /// Log level and file.
+    log_settings m_log;
+    /// File that spans are appended to. Default: empty, no spans.
+    std::string m_trace_file;
+    /// TLS between processes. Default: none, plain TCP.
+    std::optional<tls_settings> m_tls;
+    /// Entry role. Default: none.
+    std::optional<entry_settings> m_entry;
+    /// Control role. Default: none.
+    std::optional<control_settings> m_control;
+    /// Agent role. Default: none.
+    std::optional<agent_settings> m_agent;
+};
+
+/// Parses settings: JSON with comments and trailing commas. Reads no other
+/// file. Errors: `parse_errors` with every error found, each with the file
+/// name, the path within the file and the reason.
+[[nodiscard]] auto parse_settings(std::string_view text,
+                                  std::string_view file_name)
+    -> boost::leaf::result<settings>;
+
+} // namespace hickorylatch::settings
+
+#endif
