--- /dev/null
+++ b/src/settings/json_document.cpp
@@ -0,0 +1,219 @@
+#include "settings/json_document.hpp"
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::settings
+{
+
+namespace
+{
+
+/// Parser events that find keys given twice in one object. The library's own
+/// values silently keep the last one.
+class duplicate_finder
+{
+public:
+    static constexpr auto max_object_size = std::size_t(-1);
+    static constexpr auto max_array_size = std::size_t(-1);
+    static constexpr auto max_key_size = std::size_t(-1);
+    static constexpr auto max_string_size = std::size_t(-1);
+
+    using error_code = boost::json::error_code;
+    using string_view = boost::json::string_view;
+
+    explicit duplicate_finder(error_collector& errors) : m_errors(&errors)
+    {
+    }
+
+    auto on_document_begin(error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_document_end(error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_object_begin(error_code&) -> bool
+    {
+        m_levels.push_back({next_path(), {}, {}, false, 0});
+        return true;
+    }
+    auto on_object_end(std::size_t, error_code&) -> bool
+    {
+        m_levels.pop_back();
+        return true;
+    }
+    auto on_array_begin(error_code&) -> bool
+    {
+        m_levels.push_back({next_path(), {}, {}, true, 0});
+        return true;
+    }
+    auto on_array_end(std::size_t, error_code&) -> bool
+    {
+        m_levels.pop_back();
+        return true;
+    }
+    auto on_key_part(string_view text, std::size_t, error_code&) -> bool
+    {
+        m_key.append(text.data(), text.size());
+        return true;
+    }
+    auto on_key(string_view text, std::size_t, error_code&) -> bool
+    {
+        m_key.append(text.data(), text.size());
+        auto& level = m_levels.back();
+        if (!level.m_keys.insert(m_key).second)
+            m_errors->add(join_path(level.m_path, m_key), "duplicate key");
+        level.m_key = std::exchange(m_key, {});
+        return true;
+    }
+    auto on_string_part(string_view, std::size_t, error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_string(string_view, std::size_t, error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_number_part(string_view, error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_int64(std::int64_t, string_view, error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_uint64(std::uint64_t, string_view, error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_double(double, string_view, error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_bool(bool, error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_null(error_code&) -> bool
+    {
+        return skip();
+    }
+    auto on_comment_part(string_view, error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_comment(string_view, error_code&) -> bool
+    {
+        return true;
+    }
+
+private:
+    struct level
+    {
+        std::string m_path;
+        std::set<std::string> m_keys;
+        std::string m_key;
+        bool m_is_array = false;
+        std::size_t m_index = 0;
+    };
+
+    auto skip() -> bool
+    {
+        if (!m_levels.empty())
+            ++m_levels.back().m_index;
+        return true;
+    }
+
+    auto next_path() -> std::string
+    {
+        if (m_levels.empty())
+            return {};
+        auto& parent = m_levels.back();
+        if (!parent.m_is_array)
+            return join_path(parent.m_path, parent.m_key);
+        return join_path(parent.m_path, parent.m_index++);
+    }
+
+    error_collector* m_errors;
+    std::vector<level> m_levels;
+    std::string m_key;
+};
+
+auto options(json_syntax syntax) -> boost::json::parse_options
+{
+    auto chosen = boost::json::parse_options{};
+    chosen.allow_comments = syntax == json_syntax::with_comments;
+    chosen.allow_trailing_commas = syntax == json_syntax::with_comments;
+    return chosen;
+}
+
+auto position(std::string_view text, std::size_t offset) -> std::string
+{
+    auto const before = text.substr(0, offset);
+    auto const line = std::ranges::count(before, '\n') + 1;
+    auto const start = before.rfind('\n');
+    auto const column =
+        start == std::string_view::npos ? offset + 1 : offset - start;
+    return "line " + std::to_string(line) + ", column " +
+           std::to_string(column);
+}
+
+/// True if the syntax is right.
+auto check_syntax(std::string_view text, json_syntax syntax,
+                  error_collector& errors) -> bool
+{
+    auto parser =
+        boost::json::basic_parser<duplicate_finder>{options(syntax), errors};
+    auto error = boost::json::error_code{};
+    auto const read = parser.write_some(false, text.data(), text.size(), error);
+    if (!error && read < text.size())
+        error = boost::json::error::extra_data;
+    if (!error)
+        return true;
+    errors.add(position(text, read), error.message());
+    return false;
+}
+
+} // namespace
+
+json_document::json_document(std::string_view text, json_syntax syntax,
+                             error_collector& errors)
+    : m_errors(&errors)
+{
+    if (!check_syntax(text, syntax, errors))
+        return;
+    auto error = boost::json::error_code{};
+    auto value = boost::json::parse({text.data(), text.size()}, error, {},
+                                    options(syntax));
+    if (error)
+    {
+        errors.add({}, error.message());
+        return;
+    }
+    if (!value.is_object())
+    {
+        errors.add({}, "expected an object");
+        return;
+    }
+    m_value = std::make_unique<boost::json::value>(std::move(value));
+}
+
+json_document::~json_document() = default;
+
+auto json_document::top() const -> std::optional<object_reader>
+{
+    if (m_value == nullptr)
+        return std::nullopt;
+    return object_reader{m_value->get_object(), {}, *m_errors};
+}
+
+} // namespace hickorylatch::settings
--- /dev/null
+++ b/src/settings/json_document.hpp
@@ -0,0 +1,44 @@
+#ifndef HICKORYLATCH_SETTINGS_JSON_DOCUMENT_HPP
+#define HICKORYLATCH_SETTINGS_JSON_DOCUMENT_HPP
+
+#include "settings/error_collector.hpp"
+#include "settings/object_reader.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace hickorylatch::settings
+{
+
+enum class json_syntax : std::uint8_t
+{
+    strict,
+    /// Comments and trailing commas are allowed.
+    with_comments
+};
+
+/// A parsed JSON text whose top is an object without duplicate keys.
+class json_document
+{
+public:
+    /// Adds errors for bad syntax, duplicate keys and a top that is no object.
+    json_document(std::string_view text, json_syntax syntax,
+                  error_collector& errors);
+    ~json_document();
+    json_document(json_document const&) = delete;
+    auto operator=(json_document const&) -> json_document& = delete;
+
+    /// Reader of the top object. Empty if the syntax is bad. The document and
+    /// the collector must outlive it.
+    [[nodiscard]] auto top() const -> std::optional<object_reader>;
+
+private:
+    std::unique_ptr<boost::json::value> m_value;
+    error_collector* m_errors;
+};
+
+} // namespace hickorylatch::settings
+
+#endif
