--- /dev/null
+++ b/src/settings/job_record.cpp
@@ -0,0 +1,239 @@
+#include "settings/job_record.hpp"
+
+#include "settings/canonical_json.hpp"
+#include "settings/content_digest.hpp"
+#include "settings/error_collector.hpp"
+#include "settings/json_document.hpp"
+#include "settings/object_reader.hpp"
+#include "settings/record_schema.hpp"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/locale/utf.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::settings
+{
+
+namespace
+{
+
+constexpr auto required = presence::required;
+constexpr auto optional = presence::optional;
+
+// Far above every real record; keeps sums of 1,400 tasks within 64 bits.
+constexpr auto max_cores = std::int64_t{65'536};
+constexpr auto max_memory_mb = std::int64_t{1'000'000'000};
+constexpr auto max_accelerators = std::int64_t{65'536};
+constexpr auto day_ms = std::int64_t{86'400'000};
+// End of the year 9999.
+constexpr auto max_unix_ms = std::int64_t{253'402'300'799'999};
+
+struct known_field
+{
+    std::string_view m_name;
+    std::uint32_t m_since;
+};
+
+constexpr auto known_fields =
+    std::to_array<known_field>({{"schema_version", 1},
+                                {"key", 1},
+                                {"customer", 1},
+                                {"priority", 1},
+                                {"submitted_at", 1},
+                                {"tasks", 1},
+                                {"body", 1},
+                                {"cores", 1},
+                                {"memory_mb", 1},
+                                {"run_time_ms", 1},
+                                {"must_understand", 1},
+                                {"account_manager", managers_schema_version},
+                                {"deadline_ms", managers_schema_version},
+                                {"accelerators", managers_schema_version}});
+
+auto is_known(std::string_view name, std::uint32_t version) -> bool
+{
+    return std::ranges::any_of(known_fields,
+                               [&](known_field const& field)
+                               {
+                                   return field.m_name == name &&
+                                          field.m_since <= version;
+                               });
+}
+
+auto read_task(object_reader& in, std::uint32_t version) -> core::task
+{
+    auto out = core::task{};
+    in.read_text("body", required, out.m_body);
+    in.read_number("cores", optional, {1, max_cores}, out.m_cores);
+    in.read_number("memory_mb", optional, {0, max_memory_mb}, out.m_memory_mb);
+    in.read_number("run_time_ms", optional, {0, day_ms}, out.m_run_time_ms);
+    if (version >= managers_schema_version)
+        in.read_number("accelerators", optional, {0, max_accelerators},
+                       out.m_accelerators);
+    return out;
+}
+
+auto check_must_understand(object_reader& in, std::uint32_t version) -> void
+{
+    auto names = std::vector<std::string>{};
+    in.read_texts("must_understand", optional, names);
+    for (auto const& name : names)
+    {
+        if (!is_known(name, version))
+            in.fail("must_understand",
+                    "field \"" + name + "\" is not known to schema version " +
+                        std::to_string(version));
+    }
+}
+
+/// Unknown fields of the record and, under "tasks", of its tasks.
+auto collect_extra(object_reader const& record,
+                   std::vector<object_reader> const& tasks) -> std::string
+{
+    auto const parse = [](std::string const& text)
+    {
+        return text.empty() ? boost::json::object{}
+                            : boost::json::parse(text).get_object();
+    };
+    auto extra = parse(record.unknown());
+    auto of_tasks = boost::json::array{};
+    auto has_any = false;
+    for (auto const& task : tasks)
+    {
+        auto const unknown = task.unknown();
+        has_any = has_any || !unknown.empty();
+        of_tasks.emplace_back(parse(unknown));
+    }
+    if (has_any)
+        extra.emplace("tasks", std::move(of_tasks));
+    return extra.empty() ? std::string{} : print_canonical(extra);
+}
+
+auto read_job(object_reader& in, std::uint32_t version) -> core::submission
+{
+    auto out = core::submission{};
+    out.m_kind = core::submission_kind::job;
+    out.m_schema_version = version;
+    out.m_service = core::worker_service;
+    in.read_name("key", required, out.m_key);
+    in.read_name("customer", required, out.m_customer);
+    if (in.has("priority"))
+        in.read_number("priority", required, {0, core::highest_priority},
+                       out.m_priority.emplace());
+    in.read_number("submitted_at", required, {1, max_unix_ms},
+                   out.m_submitted_at);
+    check_must_understand(in, version);
+    if (version >= managers_schema_version)
+    {
+        in.read_text("account_manager", optional, out.m_account_manager);
+        in.read_number("deadline_ms", optional, {0, day_ms}, out.m_deadline_ms);
+    }
+    auto tasks = in.read_objects("tasks", required);
+    if (in.has("tasks") && (tasks.empty() || tasks.size() > max_job_tasks))
+    {
+        in.fail("tasks",
+                "expected 1 to " + std::to_string(max_job_tasks) + " tasks");
+        return out;
+    }
+    out.m_tasks.reserve(tasks.size());
+    for (auto& task : tasks)
+        out.m_tasks.push_back(read_task(task, version));
+    out.m_extra = collect_extra(in, tasks);
+    return out;
+}
+
+auto is_utf8(std::string_view text) -> bool
+{
+    namespace utf = boost::locale::utf;
+    for (auto const* at = text.begin(); at != text.end();)
+    {
+        auto const point = utf::utf_traits<char>::decode(at, text.end());
+        if (point == utf::illegal || point == utf::incomplete)
+            return false;
+    }
+    return true;
+}
+
+auto to_base64(std::string_view bytes) -> std::string
+{
+    namespace iterators = boost::archive::iterators;
+    using encoder = iterators::base64_from_binary<
+        iterators::transform_width<char const*, 6, 8>>;
+    // Whole groups of three bytes; the iterators read past the end otherwise.
+    auto const whole = bytes.size() - bytes.size() % 3;
+    auto text =
+        std::string{encoder(bytes.data()), encoder(bytes.data() + whole)};
+    if (whole == bytes.size())
+        return text;
+    auto tail = std::array<char, 3>{};
+    std::ranges::copy(bytes.substr(whole), tail.begin());
+    auto last = std::string{encoder(tail.data()), encoder(tail.data() + 3)};
+    auto const padding = 3 - (bytes.size() - whole);
+    std::fill_n(last.rbegin(), padding, '=');
+    return text + last;
+}
+
+auto print_answer(core::task_answer const& answer) -> boost::json::object
+{
+    auto printed = boost::json::object{{"succeeded", answer.m_succeeded},
+                                       {"status", answer.m_status}};
+    if (is_utf8(answer.m_body))
+        printed["body"] = answer.m_body;
+    else
+        printed["body_base64"] = to_base64(answer.m_body);
+    return printed;
+}
+
+} // namespace
+
+auto parse_job_record(std::string_view json)
+    -> boost::leaf::result<core::submission>
+{
+    auto errors = error_collector{"job record"};
+    auto const document = json_document{json, json_syntax::strict, errors};
+    auto top = document.top();
+    if (!top)
+        return boost::leaf::new_error(errors.take());
+    auto const version = read_schema_version(*top);
+    if (version == 0)
+        return boost::leaf::new_error(errors.take());
+    auto parsed = read_job(*top, version);
+    if (errors.has_errors())
+        return boost::leaf::new_error(errors.take());
+    parsed.m_digest = content_digest(parsed);
+    return parsed;
+}
+
+auto print_job_answer(core::verdict const& outcome,
+                      std::span<core::task_answer const> answers,
+                      std::uint32_t schema_version) -> std::string
+{
+    auto const text = [](std::string_view view)
+    {
+        return boost::json::string_view{view.data(), view.size()};
+    };
+    auto printed = boost::json::object{
+        {"schema_version", printable_schema_version(schema_version)},
+        {"verdict", text(to_string(outcome.m_run))},
+        {"reason", text(to_string(outcome.m_reason))},
+        {"detail", outcome.m_detail},
+        {"retry_after_ms", outcome.m_retry_after_ms}};
+    auto list = boost::json::array{};
+    list.reserve(answers.size());
+    for (auto const& answer : answers)
+        list.emplace_back(print_answer(answer));
+    printed["answers"] = std::move(list);
+    return boost::json::serialize(printed);
+}
+
+} // namespace hickorylatch::settings
--- a/src/settings/job_record.hpp
+++ b/src/settings/job_record.hpp
@@ -16,25 +16,25 @@
 namespace hickorylatch::settings
 {
 
-/// Newest schema version of job and configuration records; 1 is the oldest.
-inline constexpr auto newest_schema_version = std::uint32_t{2};
-
 /// Tasks of one job at most.
 inline constexpr auto max_job_tasks = std::size_t{1'400};
 
-/// Parses an operator's job record of schema version 1 or 2. The trace context
-/// is left empty. Errors: `parse_errors` with every error found; the source
+/// Parses an operator's job record of schema version 1 or 2, with its content
+/// digest. The trace context is left empty.
+///
+/// Fields that the version does not know are kept in `submission::m_extra` as
+/// a JSON object with sorted keys; those of tasks are in its "tasks", an array
+/// with one object for each task. A field named in `must_understand` must be
+/// known to the record's version; the list itself is honoured in version 1 too.
+///
+/// Errors: `parse_errors` with every error found; the source
 /// named in them is "job record".
 [[nodiscard]] auto parse_job_record(std::string_view json)
     -> boost::leaf::result<core::submission>;
 
-/// Digest of the content: everything but key, submission time, deadline left
-/// and trace context. The same on every platform and in every version.
-/// Requests use it too.
-[[nodiscard]] auto content_digest(core::submission const& content)
-    -> std::uint64_t;
-
-/// The answer to a job as a record of the schema version of its submission.
+/// The answer to a job as a record of the schema version of its submission,
+/// which is printed as 1 or 2. A body that is not UTF-8 text is given as
+/// "body_base64" instead of "body".
 [[nodiscard]] auto print_job_answer(core::verdict const& outcome,
                                     std::span<core::task_answer const> answers,
                                     std::uint32_t schema_version)
