--- /dev/null
+++ b/src/observe/logger.cpp
@@ -0,0 +1,207 @@
+#include "observe/logger.hpp"
+
+#include "core/utf8.hpp"
+
+#include <boost/locale/utf.hpp>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/hierarchy.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <fstream>
+#include <system_error>
+#include <utility>
+
+namespace hickorylatch::observe
+{
+
+namespace
+{
+
+auto to_log4cplus(core::log_level level) -> log4cplus::LogLevel
+{
+    switch (level)
+    {
+    case core::log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case core::log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case core::log_level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case core::log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+auto is_key_character(char c) -> bool
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '_' || c == '.' || c == '-';
+}
+
+auto print_key(std::string_view key) -> std::string
+{
+    auto printed = std::string{key.empty() ? "_" : key};
+    std::ranges::replace_if(
+        printed,
+        [](char c)
+        {
+            return !is_key_character(c);
+        },
+        '_');
+    return printed;
+}
+
+/// True for control characters and for the line and paragraph separators,
+/// which some readers take as the end of a line.
+auto breaks_line(boost::locale::utf::code_point point) -> bool
+{
+    return point < 0x20 || (point >= 0x7f && point < 0xa0) || point == 0x2028 ||
+           point == 0x2029;
+}
+
+auto append_escaped_byte(std::string& out, char c) -> void
+{
+    constexpr auto digits = std::string_view{"0123456789abcdef"};
+    auto const byte = static_cast<unsigned char>(c);
+    out.append("\\x").append(1, digits[byte >> 4]).append(1, digits[byte & 15]);
+}
+
+auto append_character(std::string& out, std::string_view bytes,
+                      boost::locale::utf::code_point point) -> void
+{
+    namespace utf = boost::locale::utf;
+    if (bytes == "\"" || bytes == "\\")
+        out.append("\\").append(bytes);
+    else if (bytes == "\n")
+        out.append("\\n");
+    else if (bytes == "\r")
+        out.append("\\r");
+    else if (bytes == "\t")
+        out.append("\\t");
+    else if (point != utf::illegal && point != utf::incomplete &&
+             !breaks_line(point))
+        out.append(bytes);
+    else
+        for (auto const c : bytes)
+            append_escaped_byte(out, c);
+}
+
+auto print_value(std::string_view value) -> std::string
+{
+    auto const is_plain = [](char c)
+    {
+        return c > ' ' && c < '\x7f' && c != '"' && c != '\\' && c != '=';
+    };
+    if (!value.empty() && std::ranges::all_of(value, is_plain))
+        return std::string{value};
+    auto printed = std::string{"\""};
+    for (auto const* at = value.begin(); at != value.end();)
+    {
+        auto const* const first = at;
+        auto const point =
+            boost::locale::utf::utf_traits<char>::decode(at, value.end());
+        append_character(printed, {first, at}, point);
+    }
+    return printed += '"';
+}
+
+auto make_appender(std::string const& file) -> log4cplus::SharedAppenderPtr
+{
+    constexpr auto to_standard_error = false;
+    constexpr auto flush_each_line = true;
+    auto appender = log4cplus::SharedAppenderPtr{};
+    if (file.empty())
+        appender =
+            new log4cplus::ConsoleAppender{to_standard_error, flush_each_line};
+    else
+        appender = new log4cplus::FileAppender{file, std::ios_base::app,
+                                               flush_each_line};
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+        "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
+    return appender;
+}
+
+} // namespace
+
+struct logger::state
+{
+    log4cplus::Hierarchy m_hierarchy;
+    log4cplus::Logger m_logger = m_hierarchy.getInstance("hickorylatch");
+};
+
+logger::logger(std::unique_ptr<state> opened) : m_state(std::move(opened))
+{
+}
+
+logger::logger(logger&&) noexcept = default;
+auto logger::operator=(logger&&) noexcept -> logger& = default;
+
+logger::~logger()
+{
+    if (m_state != nullptr)
+        m_state->m_hierarchy.shutdown();
+}
+
+auto logger::open(core::log_level lowest, std::string_view file)
+    -> boost::leaf::result<logger>
+{
+    auto const name = std::string{file};
+    // log4cplus does not report a file that it can't open.
+    if (!name.empty() && !std::ofstream{name, std::ios_base::app})
+        return boost::leaf::new_error(
+            open_error{name, std::generic_category().message(errno)});
+    // log4cplus can be initialized only once in a process: a second initializer
+    // after the first one's end throws.
+    static auto const initializer = log4cplus::Initializer{};
+    auto opened = std::make_unique<state>();
+    opened->m_logger.addAppender(make_appender(name));
+    opened->m_logger.setLogLevel(to_log4cplus(lowest));
+    return logger{std::move(opened)};
+}
+
+auto logger::write(core::log_line const& line) -> void
+{
+    auto const level = to_log4cplus(line.m_level);
+    if (m_state->m_logger.isEnabledFor(level))
+        m_state->m_logger.forcedLog(level, print_log_line(line));
+}
+
+auto print_log_line(core::log_line const& line) -> std::string
+{
+    auto text = std::string{"level="};
+    text.append(to_string(line.m_level))
+        .append(" event=")
+        .append(print_value(line.m_event));
+    for (auto const& [key, value] : line.m_fields)
+        text.append(" ")
+            .append(print_key(key))
+            .append("=")
+            .append(print_value(value));
+    return text;
+}
+
+auto to_string(core::log_level level) -> std::string_view
+{
+    switch (level)
+    {
+    case core::log_level::debug:
+        return "debug";
+    case core::log_level::info:
+        return "info";
+    case core::log_level::warning:
+        return "warning";
+    case core::log_level::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+} // namespace hickorylatch::observe
--- /dev/null
+++ b/src/observe/metrics.hpp
@@ -0,0 +1,52 @@
+#ifndef HICKORYLATCH_OBSERVE_METRICS_HPP
+#define HICKORYLATCH_OBSERVE_METRICS_HPP
+
+#include "core/effect.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace hickorylatch::observe
+{
+
+/// Distinct values of one label of a metric at most; further ones count as
+/// `other_label`.
+inline constexpr auto max_label_values = std::size_t{100};
+
+/// Series of one metric at most; further ones count as the series whose labels
+/// are all `other_label`. A histogram's series takes about 50 lines of output.
+inline constexpr auto max_series = std::size_t{250};
+
+inline constexpr auto other_label = std::string_view{"other"};
+
+/// Metrics of one process. Not thread-safe.
+class metrics
+{
+public:
+    metrics();
+    metrics(metrics&&) noexcept;
+    auto operator=(metrics&&) noexcept -> metrics&;
+    ~metrics();
+
+    /// Takes a sample. Labels that are not given are empty. False, and no
+    /// effect, if the name or a label is not in `metric_definitions()`, if the
+    /// value is not finite, or if a counter's value is negative.
+    auto observe(core::observe_metric const& sample) -> bool;
+
+    /// All metrics in the Prometheus text format, version 0.0.4.
+    [[nodiscard]] auto print() const -> std::string;
+
+private:
+    struct state;
+
+    std::unique_ptr<state> m_state;
+};
+
+/// Content type of the text that `metrics::print` returns.
+inline constexpr auto metrics_content_type =
+    std::string_view{"text/plain; version=0.0.4; charset=utf-8"};
+
+} // namespace hickorylatch::observe
+
+#endif
--- a/src/settings/job_record.cpp
+++ b/src/settings/job_record.cpp
@@ -1,5 +1,6 @@
 #include "settings/job_record.hpp"
 
+#include "core/utf8.hpp"
 #include "settings/canonical_json.hpp"
 #include "settings/content_digest.hpp"
 #include "settings/error_collector.hpp"
@@ -13,7 +14,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/locale/utf.hpp>
 
 #include <algorithm>
 #include <array>
@@ -152,18 +152,6 @@
     return out;
 }
 
-auto is_utf8(std::string_view text) -> bool
-{
-    namespace utf = boost::locale::utf;
-    for (auto const* at = text.begin(); at != text.end();)
-    {
-        auto const point = utf::utf_traits<char>::decode(at, text.end());
-        if (point == utf::illegal || point == utf::incomplete)
-            return false;
-    }
-    return true;
-}
-
 auto to_base64(std::string_view bytes) -> std::string
 {
     namespace iterators = boost::archive::iterators;
@@ -187,7 +175,7 @@
 {
     auto printed = boost::json::object{{"succeeded", answer.m_succeeded},
                                        {"status", answer.m_status}};
-    if (is_utf8(answer.m_body))
+    if (core::is_utf8(answer.m_body))
         printed["body"] = answer.m_body;
     else
         printed["body_base64"] = to_base64(answer.m_body);
