--- a/src/core/effect.hpp
+++ b/src/core/effect.hpp
@@ -42,6 +42,9 @@
     log_index m_truncate_from = 0;
     std::vector<log_entry> m_entries;
 };
+// The number of a write has no meaning after a restart and is not stored.
+BOOST_DESCRIBE_STRUCT(append_log, (),
+                      (m_hard_state, m_truncate_from, m_entries))
 
 /// State of the control role up to an index, as one block of bytes.
 struct snapshot
--- /dev/null
+++ b/src/storage/file.hpp
@@ -0,0 +1,80 @@
+#ifndef HICKORYLATCH_STORAGE_FILE_HPP
+#define HICKORYLATCH_STORAGE_FILE_HPP
+
+#include "storage/storage_options.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <filesystem>
+#include <limits>
+#include <string>
+#include <string_view>
+
+namespace hickorylatch::storage
+{
+
+/// An open file descriptor that closes itself. Errors are `storage_error`.
+class file
+{
+public:
+    file() = default;
+    file(file&& other) noexcept;
+    auto operator=(file&& other) noexcept -> file&;
+    file(file const&) = delete;
+    auto operator=(file const&) -> file& = delete;
+    ~file();
+
+    /// Opens with the flags of open(2); creates with mode 0600.
+    [[nodiscard]] static auto open(std::filesystem::path path, int flags)
+        -> boost::leaf::result<file>;
+
+    /// Writes all bytes at the offset.
+    [[nodiscard]] auto write(std::uint64_t offset, std::string_view bytes)
+        -> boost::leaf::result<void>;
+    [[nodiscard]] auto truncate(std::uint64_t size)
+        -> boost::leaf::result<void>;
+    /// Makes the contents and the size durable. After a failure the state of
+    /// the file is unknown: the kernel may have dropped the pages, so a retry
+    /// proves nothing.
+    [[nodiscard]] auto sync_data(storage_options const& options)
+        -> boost::leaf::result<void>;
+    /// Like `sync_data`, and the metadata too.
+    [[nodiscard]] auto sync_all(storage_options const& options)
+        -> boost::leaf::result<void>;
+    /// Takes the exclusive lock; fails if another process holds it.
+    [[nodiscard]] auto lock() -> boost::leaf::result<void>;
+
+private:
+    [[nodiscard]] auto sync_with(storage_options const& options,
+                                 auto(*operation)(int)->int)
+        -> boost::leaf::result<void>;
+
+    std::filesystem::path m_path;
+    int m_descriptor = -1;
+};
+
+/// The contents of a file, or its first bytes up to the limit.
+[[nodiscard]] auto
+read_file(std::filesystem::path const& path,
+          std::uint64_t limit = std::numeric_limits<std::uint64_t>::max())
+    -> boost::leaf::result<std::string>;
+
+/// Makes creations, renames and removals in a folder durable.
+[[nodiscard]] auto sync_folder(std::filesystem::path const& folder,
+                               storage_options const& options)
+    -> boost::leaf::result<void>;
+
+/// Ending of files that are not complete yet.
+inline constexpr auto temporary_suffix = std::string_view{".tmp"};
+
+/// Creates a file that exists either wholly and durably or not at all: writes
+/// a temporary file, syncs it, renames it and syncs the folder.
+[[nodiscard]] auto create_file(std::filesystem::path const& path,
+                               std::string_view bytes,
+                               storage_options const& options)
+    -> boost::leaf::result<void>;
+
+} // namespace hickorylatch::storage
+
+#endif
--- /dev/null
+++ b/src/storage/inspect.hpp
@@ -0,0 +1,21 @@
+#ifndef HICKORYLATCH_STORAGE_INSPECT_HPP
+#define HICKORYLATCH_STORAGE_INSPECT_HPP
+
+#include <boost/leaf/result.hpp>
+
+#include <filesystem>
+#include <iosfwd>
+
+namespace hickorylatch::storage
+{
+
+/// Prints identity, hard state, snapshot and entries of a data folder as lines
+/// of key=value pairs. Changes nothing and takes no lock, so the folder of a
+/// running process may be caught in the middle of a write. Fails with
+/// `storage_error`.
+[[nodiscard]] auto inspect(std::filesystem::path folder, std::ostream& out)
+    -> boost::leaf::result<void>;
+
+} // namespace hickorylatch::storage
+
+#endif
--- /dev/null
+++ b/src/storage/log_position.hpp
@@ -0,0 +1,45 @@
+#ifndef HICKORYLATCH_STORAGE_LOG_POSITION_HPP
+#define HICKORYLATCH_STORAGE_LOG_POSITION_HPP
+
+#include "core/ids.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace hickorylatch::storage
+{
+
+/// Index and term of an entry.
+struct log_position
+{
+    core::log_index m_index = 0;
+    core::term_number m_term = 0;
+
+    auto operator==(log_position const&) const -> bool = default;
+};
+
+/// Terms of the entries of a log, kept as runs of equal terms.
+class log_terms
+{
+public:
+    /// Forgets all entries; the next one follows the base.
+    auto restart(log_position base) -> void;
+    /// Adds the entry behind the last one.
+    auto append(core::term_number term) -> void;
+    /// Removes entries from this index on.
+    auto truncate(core::log_index from) -> void;
+
+    [[nodiscard]] auto last() const -> log_position;
+    /// Nothing if the index is before the base or behind the last entry.
+    [[nodiscard]] auto term_at(core::log_index index) const
+        -> std::optional<core::term_number>;
+
+private:
+    /// First index of each run; the first run is the base itself.
+    std::vector<log_position> m_runs{log_position{}};
+    core::log_index m_last = 0;
+};
+
+} // namespace hickorylatch::storage
+
+#endif
--- /dev/null
+++ b/src/storage/log_record.cpp
@@ -0,0 +1,125 @@
+#include "storage/log_record.hpp"
+
+#include "storage/envelope.hpp"
+
+#include "wire/codec.hpp"
+#include "wire/described_codec.hpp"
+
+#include <boost/leaf/error.hpp>
+
+#include <exception>
+
+namespace hickorylatch::storage
+{
+
+namespace
+{
+
+constexpr auto record_marker = std::string_view{"HLR\x01"};
+
+template <typename T>
+[[nodiscard]] auto decode(std::string_view bytes) -> boost::leaf::result<T>
+{
+    try
+    {
+        return wire::described::from_bytes<T>(bytes);
+    }
+    catch (std::exception const& error)
+    {
+        return boost::leaf::new_error(wire::decode_error{error.what()});
+    }
+}
+
+[[nodiscard]] auto checksum_of(record_place place, std::string_view payload)
+    -> std::uint32_t
+{
+    return checksum{}
+        .add(static_cast<std::uint64_t>(place.m_identity))
+        .add(place.m_segment)
+        .add(place.m_offset)
+        .add(payload.size())
+        .add(payload)
+        .value();
+}
+
+} // namespace
+
+auto encode_segment_header(segment_header const& header) -> std::string
+{
+    return seal_envelope(segment_magic, wire::described::to_bytes(header));
+}
+
+auto decode_segment_header(std::string_view bytes)
+    -> boost::leaf::result<sized_segment_header>
+{
+    BOOST_LEAF_AUTO(opened, open_envelope(segment_magic, bytes));
+    BOOST_LEAF_AUTO(header, decode<segment_header>(opened.m_payload));
+    return sized_segment_header{header, opened.m_size};
+}
+
+auto append_write(std::string& payload, core::append_log const& write) -> void
+{
+    auto const bytes = wire::described::to_bytes(write);
+    put_u32(payload, static_cast<std::uint32_t>(bytes.size()));
+    payload += bytes;
+}
+
+auto encode_record(record_place place, std::string_view payload) -> std::string
+{
+    auto record = std::string{record_marker};
+    put_u32(record, static_cast<std::uint32_t>(payload.size()));
+    put_u32(record, checksum_of(place, payload));
+    record += payload;
+    return record;
+}
+
+auto record_payload(record_place place, std::string_view bytes)
+    -> std::optional<std::string_view>
+{
+    if (bytes.size() < record_header_size || !bytes.starts_with(record_marker))
+        return std::nullopt;
+    auto const length = std::size_t{u32_at(bytes, 4)};
+    if (length > bytes.size() - record_header_size)
+        return std::nullopt;
+    auto const payload = bytes.substr(record_header_size, length);
+    if (checksum_of(place, payload) != u32_at(bytes, 8))
+        return std::nullopt;
+    return payload;
+}
+
+auto decode_record_payload(std::string_view payload)
+    -> boost::leaf::result<std::vector<core::append_log>>
+{
+    auto writes = std::vector<core::append_log>{};
+    while (!payload.empty())
+    {
+        if (payload.size() < 4)
+            return boost::leaf::new_error(
+                wire::decode_error{"record ends within a length"});
+        auto const length = std::size_t{u32_at(payload, 0)};
+        payload.remove_prefix(4);
+        if (length > payload.size())
+            return boost::leaf::new_error(
+                wire::decode_error{"record ends within a write"});
+        BOOST_LEAF_AUTO(write,
+                        decode<core::append_log>(payload.substr(0, length)));
+        writes.push_back(std::move(write));
+        payload.remove_prefix(length);
+    }
+    return writes;
+}
+
+auto find_record(core::node_id identity, std::uint64_t segment,
+                 std::string_view bytes, std::size_t offset)
+    -> std::optional<std::size_t>
+{
+    for (auto at = bytes.find(record_marker, offset);
+         at != std::string_view::npos; at = bytes.find(record_marker, at + 1))
+    {
+        if (record_payload({identity, segment, at}, bytes.substr(at)))
+            return at;
+    }
+    return std::nullopt;
+}
+
+} // namespace hickorylatch::storage
