--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -23,11 +23,16 @@
 
 auto is_idempotent(service const& target, std::string_view path) -> bool
 {
-    return std::ranges::any_of(target.m_idempotent_paths,
-                               [path](std::string const& prefix)
-                               {
-                                   return path.starts_with(prefix);
-                               });
+    // "/stock" covers "/stock/reels" and "/stock?reel=7", not "/stocktaking".
+    auto const covers = [path](std::string_view prefix)
+    {
+        if (!path.starts_with(prefix))
+            return false;
+        auto const rest = path.substr(prefix.size());
+        return rest.empty() || prefix.ends_with('/') || rest.front() == '/' ||
+               rest.front() == '?';
+    };
+    return std::ranges::any_of(target.m_idempotent_paths, covers);
 }
 
 } // namespace hickorylatch::core
--- /dev/null
+++ b/src/process/process.cpp
@@ -0,0 +1,437 @@
+#include "process/process.hpp"
+
+#include "net/error.hpp"
+#include "storage/storage_error.hpp"
+#include "wire/codec.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::process
+{
+
+namespace
+{
+
+// The wall clock only stamps and ages records, so a second's grain is enough.
+constexpr auto clock_interval = std::chrono::seconds{1};
+// Unsent bytes are looked at this often while the process ends.
+constexpr auto flush_interval = std::chrono::milliseconds{10};
+constexpr auto flush_rounds_limit = 500U;
+
+auto random_number() -> std::uint64_t
+{
+    auto device = std::random_device{};
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+auto wall_clock() -> core::unix_milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+auto fail(std::string text) -> boost::leaf::error_id
+{
+    return boost::leaf::new_error(start_error{std::move(text)});
+}
+
+/// Turns the errors of other libraries into a `start_error`.
+template <typename Open>
+auto explain(Open&& open) -> std::invoke_result_t<Open>
+{
+    using result = std::invoke_result_t<Open>;
+    return boost::leaf::try_handle_some(
+        std::forward<Open>(open),
+        [](net::error const& error) -> result
+        {
+            return fail(error.m_text);
+        },
+        [](storage::storage_error const& error) -> result
+        {
+            return fail(to_string(error));
+        },
+        [](observe::open_error const& error) -> result
+        {
+            return fail(error.m_file + ": " + error.m_reason);
+        });
+}
+
+auto decode_image(std::string_view bytes) -> std::optional<core::control_image>
+{
+    if (bytes.empty())
+        return std::nullopt;
+    auto image = wire::decode_control_image(bytes);
+    return image ? std::optional{std::move(*image)} : std::nullopt;
+}
+
+auto encode_image(core::control_image const& image) -> std::string
+{
+    return wire::encode(image);
+}
+
+} // namespace
+
+process::process(settings::settings wanted, observe::logger log)
+    : m_settings{std::move(wanted)}, m_log{std::move(log)}, m_signals{m_loop},
+      m_timer{m_loop,
+              [this]
+              {
+                  m_node.m_timer = core::never;
+                  feed(core::timer_fired{});
+              }},
+      m_clock{m_loop,
+              [this]
+              {
+                  read_clock();
+              }},
+      m_flush{m_loop, [this]
+              {
+                  finish_when_flushed();
+              }}
+{
+}
+
+process::~process() = default;
+
+auto process::open(settings::settings wanted)
+    -> boost::leaf::result<std::unique_ptr<process>>
+{
+    return explain(
+        [&]() -> boost::leaf::result<std::unique_ptr<process>>
+        {
+            BOOST_LEAF_AUTO(log, observe::logger::open(wanted.m_log.m_level,
+                                                       wanted.m_log.m_file));
+            auto opened = std::unique_ptr<process>{
+                new process{std::move(wanted), std::move(log)}};
+            auto& self = *opened;
+            if (!self.m_settings.m_secret_file.empty())
+            {
+                auto file = std::ifstream{self.m_settings.m_secret_file};
+                if (!std::getline(file, self.m_settings.m_secret))
+                    return fail(self.m_settings.m_secret_file +
+                                ": the secret can't be read");
+            }
+            self.m_node.m_id = core::node_id{random_number() | 1U};
+            self.m_node.m_name = self.m_settings.m_name;
+            self.m_node.m_secret = self.m_settings.m_secret;
+            if (!self.m_settings.m_trace_file.empty())
+            {
+                auto const offset = std::chrono::microseconds{
+                    std::chrono::duration_cast<std::chrono::microseconds>(
+                        std::chrono::system_clock::now().time_since_epoch()) -
+                    self.m_loop.now()};
+                BOOST_LEAF_AUTO(
+                    spans, observe::span_writer::open(
+                               self.m_settings.m_trace_file,
+                               {self.m_settings.m_name,
+                                self.m_settings.m_failure_domain, offset}));
+                self.m_spans.emplace(std::move(spans));
+            }
+            if (self.m_settings.m_control)
+                BOOST_LEAF_CHECK(self.open_control());
+            if (self.m_settings.m_entry)
+                self.m_node.m_entry.emplace();
+            if (self.m_settings.m_agent)
+                BOOST_LEAF_CHECK(self.open_agent());
+            BOOST_LEAF_CHECK(self.open_links());
+            BOOST_LEAF_CHECK(self.open_servers());
+            self.connect_signals();
+            return opened;
+        });
+}
+
+auto process::open_control() -> boost::leaf::result<void>
+{
+    auto const& wanted = *m_settings.m_control;
+    auto options = storage::storage_options{};
+    options.m_fsync = wanted.m_fsync;
+    BOOST_LEAF_AUTO(opened, storage::data_folder::open(wanted.m_data_folder,
+                                                       std::move(options)));
+    for (auto const& warning : opened.m_warnings)
+        m_log.write(warning);
+    auto limits = core::control_settings{};
+    limits.m_key_retention_ms =
+        core::unix_milliseconds{wanted.m_key_retention_hours} * 3'600'000;
+    limits.m_key_limit = wanted.m_key_limit;
+    limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
+    m_node.m_id = opened.m_recovered.m_identity;
+    m_node.m_address = wanted.m_listen_address;
+    m_node.m_control.emplace(
+        limits, core::replica_settings{}, std::move(opened.m_recovered),
+        core::image_codec{encode_image, decode_image}, wanted.m_listen_address);
+    m_durable =
+        std::make_unique<durable_log>(m_loop, std::move(opened.m_folder));
+    return {};
+}
+
+auto process::open_agent() -> boost::leaf::result<void>
+{
+    auto const& wanted = *m_settings.m_agent;
+    BOOST_LEAF_AUTO(target,
+                    net::socket_address::parse(wanted.m_target_address));
+    auto info = core::agent_info{};
+    info.m_node = m_node.m_id;
+    info.m_name = m_settings.m_name;
+    info.m_kind = wanted.m_kind;
+    info.m_service = wanted.m_service;
+    info.m_slots = wanted.m_slots;
+    info.m_cores = wanted.m_cores;
+    info.m_memory_mb = wanted.m_memory_mb;
+    info.m_accelerators = wanted.m_accelerators;
+    info.m_rack = wanted.m_rack;
+    info.m_failure_domain = m_settings.m_failure_domain;
+    m_node.m_agent.emplace(std::move(info));
+    m_calls = std::make_unique<agent_calls>(m_loop, target, wanted);
+    return {};
+}
+
+auto process::open_links() -> boost::leaf::result<void>
+{
+    auto wanted = net::peer_links_settings{};
+    wanted.m_hello = core::greeting(m_node);
+    wanted.m_frame_limit = m_settings.m_frame_limit_bytes;
+    m_links = std::make_unique<net::peer_links>(m_loop, std::move(wanted));
+    if (m_settings.m_control)
+        BOOST_LEAF_CHECK(
+            m_links->listen(m_settings.m_control->m_listen_address));
+    return {};
+}
+
+auto process::open_servers() -> boost::leaf::result<void>
+{
+    auto operators = net::http_server_settings{};
+    auto const operators_address =
+        m_settings.m_entry     ? m_settings.m_entry->m_operators_address
+        : m_settings.m_control ? m_settings.m_control->m_operators_address
+                               : m_settings.m_agent->m_operators_address;
+    BOOST_LEAF_CHECK(
+        open_server(operators_address, audience::operators, operators));
+    if (!m_settings.m_entry)
+        return {};
+    auto const& wanted = *m_settings.m_entry;
+    auto callers = net::http_server_settings{};
+    callers.m_body_limit = wanted.m_body_limit_bytes;
+    callers.m_connection_limit = wanted.m_connection_limit;
+    callers.m_read_timeout =
+        std::chrono::milliseconds{wanted.m_header_timeout_ms};
+    return open_server(wanted.m_callers_address, audience::callers, callers);
+}
+
+auto process::open_server(std::string const& address, audience who,
+                          net::http_server_settings limits)
+    -> boost::leaf::result<void>
+{
+    auto const place = m_servers.size();
+    auto server = std::make_unique<net::http_server>(
+        m_loop, limits,
+        [this, place, who](net::http_request const& request)
+        {
+            auto& from = *m_servers[place];
+            if (who == audience::callers)
+                handle_caller(from, request);
+            else
+                handle_operator(from, request);
+        });
+    BOOST_LEAF_CHECK(server->listen(address));
+    server->exchange_abandoned().connect(
+        [this, place](core::exchange_id exchange)
+        {
+            abandon(*m_servers[place], exchange);
+        });
+    m_servers.push_back(std::move(server));
+    return {};
+}
+
+auto process::connect_signals() -> void
+{
+    m_signals.stop_requested().connect(
+        [this]
+        {
+            m_log.write({core::log_level::info, "stop_requested", {}});
+            for (auto const& server : m_servers)
+                server->stop_accepting();
+            feed(core::stop_requested{});
+        });
+    m_links->peer_connected().connect(
+        [this](core::hello const& peer)
+        {
+            feed(core::peer_connected{peer});
+        });
+    m_links->peer_disconnected().connect(
+        [this](core::node_id peer)
+        {
+            feed(core::peer_disconnected{peer});
+        });
+    m_links->message_received().connect(
+        [this](core::node_id from, core::message const& message)
+        {
+            feed(core::message_received{from, message});
+        });
+    m_links->line_logged().connect(
+        [this](core::log_line const& line)
+        {
+            m_log.write(line);
+        });
+    if (m_calls)
+        m_calls->call_finished().connect(
+            [this](core::call_finished const& done)
+            {
+                feed(done);
+            });
+    if (!m_durable)
+        return;
+    m_durable->log_synced().connect(
+        [this](core::log_synced const& done)
+        {
+            feed(done);
+        });
+    m_durable->snapshot_saved().connect(
+        [this](core::snapshot_saved const& done)
+        {
+            feed(done);
+            m_links->set_cluster(m_node.m_control->cluster());
+        });
+    m_durable->sync_measured().connect(
+        [this](core::duration spent)
+        {
+            m_metrics.observe({"hickorylatch_syncs_total", {}, 1});
+            m_metrics.observe({"hickorylatch_sync_seconds",
+                               {},
+                               std::chrono::duration<double>(spent).count()});
+        });
+    m_durable->failed().connect(
+        [this](std::string const& cause)
+        {
+            m_log.write(
+                {core::log_level::error, "storage_failed", {{"cause", cause}}});
+            m_exit_code = 1;
+            m_loop.stop();
+        });
+}
+
+auto process::run() -> int
+{
+    m_log.write(
+        {core::log_level::info,
+         "started",
+         {{"name", m_settings.m_name},
+          {"failure_domain", m_settings.m_failure_domain},
+          {"node", std::to_string(static_cast<std::uint64_t>(m_node.m_id))}}});
+    read_clock();
+    feed(core::started{random_number()});
+    m_links->keep(m_settings.m_control_addresses);
+    m_loop.run();
+    if (m_spans)
+        m_spans->flush();
+    m_log.write({core::log_level::info,
+                 "stopped",
+                 {{"exit_code", std::to_string(m_exit_code)}}});
+    return m_exit_code;
+}
+
+auto process::feed(core::event const& incoming) -> void
+{
+    auto out = core::effects{};
+    core::reduce(m_node, m_loop.now(), incoming, out);
+    for (auto& wanted : out)
+        carry_out(wanted);
+}
+
+auto process::read_clock() -> void
+{
+    feed(core::clock_read{wall_clock()});
+    if (m_spans)
+        m_spans->flush();
+    m_clock.start(clock_interval);
+}
+
+auto process::finish_when_flushed() -> void
+{
+    auto const has_exchanges =
+        std::ranges::any_of(m_servers,
+                            [](auto const& server)
+                            {
+                                return server->open_exchanges() != 0;
+                            });
+    auto const is_busy = m_links->unsent() != 0 || has_exchanges;
+    if (is_busy && ++m_flush_rounds < flush_rounds_limit)
+        m_flush.start(flush_interval);
+    else
+        m_loop.stop();
+}
+
+auto process::carry_out(core::effect& wanted) -> void
+{
+    std::visit(
+        [this](auto& each)
+        {
+            carry_out(each);
+        },
+        wanted);
+}
+
+auto process::carry_out(core::send& wanted) -> void
+{
+    m_links->send(wanted.m_to, wanted.m_message);
+}
+
+auto process::carry_out(core::append_log& wanted) -> void
+{
+    m_durable->append(std::move(wanted));
+}
+
+auto process::carry_out(core::save_snapshot& wanted) -> void
+{
+    m_durable->save(std::move(wanted.m_snapshot));
+}
+
+auto process::carry_out(core::start_call& wanted) -> void
+{
+    m_calls->start(wanted);
+}
+
+auto process::carry_out(core::cancel_call& wanted) -> void
+{
+    m_calls->cancel(wanted);
+}
+
+auto process::carry_out(core::set_timer& wanted) -> void
+{
+    m_timer.start_at(wanted.m_at);
+}
+
+auto process::carry_out(core::keep_links& wanted) -> void
+{
+    m_links->keep(wanted.m_addresses);
+}
+
+auto process::carry_out(core::log_line& wanted) -> void
+{
+    m_log.write(wanted);
+}
+
+auto process::carry_out(core::record_span& wanted) -> void
+{
+    if (m_spans)
+        m_spans->write(wanted);
+}
+
+auto process::carry_out(core::observe_metric& wanted) -> void
+{
+    m_metrics.observe(wanted);
+}
+
+auto process::carry_out(core::exit_process& wanted) -> void
+{
+    static_cast<void>(wanted);
+    finish_when_flushed();
+}
+
+} // namespace hickorylatch::process
--- /dev/null
+++ b/src/process/process.hpp
@@ -0,0 +1,142 @@
+#ifndef HICKORYLATCH_PROCESS_PROCESS_HPP
+#define HICKORYLATCH_PROCESS_PROCESS_HPP
+
+#include "core/node.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_server.hpp"
+#include "net/peer_links.hpp"
+#include "net/process_signals.hpp"
+#include "net/timer.hpp"
+#include "observe/logger.hpp"
+#include "observe/metrics.hpp"
+#include "observe/span_writer.hpp"
+#include "process/agent_calls.hpp"
+#include "process/durable_log.hpp"
+#include "settings/settings.hpp"
+
+#include <boost/json/fwd.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hickorylatch::process
+{
+
+/// Why a process could not start. Carried as a LEAF error object.
+struct start_error
+{
+    std::string m_text;
+};
+
+/// One `hickorylatch serve` process: feeds the reducer with events and carries
+/// out its effects.
+class process
+{
+public:
+    /// Opens files, addresses and links. Errors: `start_error`.
+    [[nodiscard]] static auto open(settings::settings wanted)
+        -> boost::leaf::result<std::unique_ptr<process>>;
+
+    process(process const&) = delete;
+    auto operator=(process const&) -> process& = delete;
+    ~process();
+
+    /// Runs until a graceful shutdown. Returns the exit code.
+    auto run() -> int;
+
+private:
+    enum class audience : std::uint8_t
+    {
+        callers,
+        operators
+    };
+
+    /// An open HTTP exchange and where its answer goes.
+    struct open_exchange
+    {
+        net::http_server* m_server = nullptr;
+        core::exchange_id m_exchange = 0;
+        std::uint32_t m_schema_version = 0;
+    };
+
+    process(settings::settings wanted, observe::logger log);
+
+    [[nodiscard]] auto open_control() -> boost::leaf::result<void>;
+    [[nodiscard]] auto open_agent() -> boost::leaf::result<void>;
+    [[nodiscard]] auto open_links() -> boost::leaf::result<void>;
+    [[nodiscard]] auto open_servers() -> boost::leaf::result<void>;
+    [[nodiscard]] auto open_server(std::string const& address, audience who,
+                                   net::http_server_settings limits)
+        -> boost::leaf::result<void>;
+    auto connect_signals() -> void;
+
+    auto feed(core::event const& incoming) -> void;
+    auto carry_out(core::effect& wanted) -> void;
+    auto carry_out(core::send& wanted) -> void;
+    auto carry_out(core::append_log& wanted) -> void;
+    auto carry_out(core::save_snapshot& wanted) -> void;
+    auto carry_out(core::reply& wanted) -> void;
+    auto carry_out(core::reply_operator& wanted) -> void;
+    auto carry_out(core::start_call& wanted) -> void;
+    auto carry_out(core::cancel_call& wanted) -> void;
+    auto carry_out(core::set_timer& wanted) -> void;
+    auto carry_out(core::keep_links& wanted) -> void;
+    auto carry_out(core::log_line& wanted) -> void;
+    auto carry_out(core::record_span& wanted) -> void;
+    auto carry_out(core::observe_metric& wanted) -> void;
+    auto carry_out(core::exit_process& wanted) -> void;
+
+    auto handle_caller(net::http_server& server,
+                       net::http_request const& request) -> void;
+    auto handle_operator(net::http_server& server,
+                         net::http_request const& request) -> void;
+    /// Answers paths that every process has. False if it is not one of them.
+    auto handle_common(net::http_server& server,
+                       net::http_request const& request) -> bool;
+    auto handle_job(net::http_server& server, net::http_request const& request)
+        -> void;
+    auto handle_change(net::http_server& server,
+                       net::http_request const& request) -> void;
+    auto handle_members(net::http_server& server,
+                        net::http_request const& request,
+                        boost::json::object const& body) -> void;
+    auto ask(net::http_server& server, net::http_request const& request,
+             core::operation asked) -> void;
+    auto add_exchange(net::http_server& server, core::exchange_id exchange,
+                      std::uint32_t schema_version = 0) -> core::exchange_id;
+    auto abandon(net::http_server& server, core::exchange_id exchange) -> void;
+    auto refuse(net::http_server& server, core::exchange_id exchange,
+                std::uint16_t status, std::string text) -> void;
+    auto answer(core::exchange_id exchange, net::http_answer const& answer)
+        -> void;
+    auto read_clock() -> void;
+    auto finish_when_flushed() -> void;
+    [[nodiscard]] auto current_config() const -> core::configuration const&;
+
+    settings::settings m_settings;
+    observe::logger m_log;
+    observe::metrics m_metrics;
+    std::optional<observe::span_writer> m_spans;
+    net::event_loop m_loop;
+    net::process_signals m_signals;
+    core::node m_node;
+    std::unique_ptr<net::peer_links> m_links;
+    std::unique_ptr<durable_log> m_durable;
+    std::unique_ptr<agent_calls> m_calls;
+    std::vector<std::unique_ptr<net::http_server>> m_servers;
+    net::timer m_timer;
+    net::timer m_clock;
+    net::timer m_flush;
+    std::map<core::exchange_id, open_exchange> m_exchanges;
+    core::exchange_id m_exchange = 0;
+    int m_exit_code = 0;
+    unsigned m_flush_rounds = 0;
+};
+
+} // namespace hickorylatch::process
+
+#endif
--- /dev/null
+++ b/src/process/process_http.cpp
@@ -0,0 +1,301 @@
+#include "process/http_api.hpp"
+#include "process/process.hpp"
+
+#include "settings/configuration_record.hpp"
+#include "settings/job_record.hpp"
+
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace hickorylatch::process
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+/// Members of a flat JSON object, for the small operators' requests.
+auto read_object(std::string_view body) -> std::optional<json::object>
+{
+    auto error = boost::system::error_code{};
+    auto value = json::parse(body, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.as_object());
+}
+
+auto read_text(json::object const& from, std::string_view name) -> std::string
+{
+    auto const* member = from.if_contains(name);
+    if (member == nullptr || !member->is_string())
+        return {};
+    return std::string{member->as_string()};
+}
+
+auto read_member(json::object const& from) -> std::optional<core::member>
+{
+    auto const node = read_text(from, "node");
+    auto const* votes = from.if_contains("votes");
+    auto number = std::uint64_t{0};
+    auto const* const end = node.data() + node.size();
+    auto const [stopped, error] = std::from_chars(node.data(), end, number, 16);
+    if (node.empty() || error != std::errc{} || stopped != end ||
+        votes == nullptr || !votes->is_bool())
+        return std::nullopt;
+    return core::member{core::node_id{number}, read_text(from, "address"),
+                        votes->as_bool()};
+}
+
+} // namespace
+
+auto process::handle_caller(net::http_server& server,
+                            net::http_request const& request) -> void
+{
+    if (handle_common(server, request))
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(work, parse_caller_request(request));
+            auto const exchange = add_exchange(server, request.m_exchange);
+            feed(core::request_arrived{exchange, std::move(work), 0});
+            return {};
+        },
+        [&](bad_request const& error)
+        {
+            refuse(server, request.m_exchange, error.m_status, error.m_text);
+        },
+        [&]
+        {
+            refuse(server, request.m_exchange, 400, "not understood");
+        });
+}
+
+auto process::handle_common(net::http_server& server,
+                            net::http_request const& request) -> bool
+{
+    auto const reply_text =
+        [&](std::uint16_t status, std::string_view type, std::string_view text)
+    {
+        server.answer(request.m_exchange, status,
+                      {{"Content-Type", std::string{type}}}, text);
+        return true;
+    };
+    if (request.m_method != "GET")
+        return false;
+    if (request.m_path == "/health")
+        return reply_text(200, "text/plain", "ok\n");
+    if (request.m_path == "/ready")
+    {
+        auto const is_ready = core::is_ready(m_node, m_loop.now());
+        return reply_text(is_ready ? 200 : 503, "text/plain",
+                          is_ready ? "ready\n" : "not ready\n");
+    }
+    return false;
+}
+
+auto process::handle_operator(net::http_server& server,
+                              net::http_request const& request) -> void
+{
+    if (handle_common(server, request))
+        return;
+    auto const& path = request.m_path;
+    auto const is_get = request.m_method == "GET";
+    if (is_get && path == "/metrics")
+        server.answer(
+            request.m_exchange, 200,
+            {{"Content-Type", std::string{observe::metrics_content_type}}},
+            m_metrics.print());
+    else if (is_get && path == "/v1/status")
+        ask(server, request, core::query_status{"status"});
+    else if (is_get && path == "/v1/agents")
+        ask(server, request, core::query_status{"agents"});
+    else if (is_get && path == "/v1/jobs")
+        ask(server, request, core::query_status{"jobs"});
+    else if (is_get && path == "/v1/configuration")
+        ask(server, request, core::query_status{"configuration"});
+    else if (request.m_method == "POST" && path == "/v1/jobs")
+        handle_job(server, request);
+    else
+        handle_change(server, request);
+}
+
+auto process::handle_job(net::http_server& server,
+                         net::http_request const& request) -> void
+{
+    if (!m_node.m_entry)
+    {
+        refuse(server, request.m_exchange, 404, "jobs are posted to an entry");
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(work, settings::parse_job_record(request.m_body));
+            auto const exchange =
+                add_exchange(server, request.m_exchange, work.m_schema_version);
+            feed(core::request_arrived{exchange, std::move(work), 0});
+            return {};
+        },
+        [&](settings::parse_errors const& errors)
+        {
+            refuse(server, request.m_exchange, 400, to_string(errors, "; "));
+        },
+        [&]
+        {
+            refuse(server, request.m_exchange, 400, "not understood");
+        });
+}
+
+auto process::handle_change(net::http_server& server,
+                            net::http_request const& request) -> void
+{
+    auto const& path = request.m_path;
+    auto const is_post = request.m_method == "POST";
+    auto const body = read_object(request.m_body);
+    if (path == "/v1/configuration" && request.m_method == "PUT")
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(change, settings::parse_configuration_record(
+                                            request.m_body, current_config()));
+                ask(server, request, std::move(change));
+                return {};
+            },
+            [&](settings::parse_errors const& errors)
+            {
+                refuse(server, request.m_exchange,
+                       errors.m_may_retry ? 503 : 400, to_string(errors, "; "));
+            },
+            [&]
+            {
+                refuse(server, request.m_exchange, 400, "not understood");
+            });
+    }
+    else if (is_post && path == "/v1/jobs/cancel" && body)
+        ask(server, request,
+            core::cancel_job{read_text(*body, "request_id"),
+                             read_text(*body, "customer"),
+                             read_text(*body, "key")});
+    else if (is_post && path == "/v1/found" && body)
+    {
+        auto const* members = body->if_contains("members");
+        auto const count =
+            members != nullptr && members->is_int64() ? members->as_int64() : 0;
+        ask(server, request,
+            core::found_control_group{static_cast<std::uint32_t>(count)});
+    }
+    else if (is_post && path == "/v1/members" && body)
+        handle_members(server, request, *body);
+    else
+        refuse(server, request.m_exchange, body || !is_post ? 404 : 400,
+               body || !is_post ? "no such resource"
+                                : "the body must be a JSON object");
+}
+
+auto process::handle_members(net::http_server& server,
+                             net::http_request const& request,
+                             boost::json::object const& body) -> void
+{
+    auto change = core::change_membership{read_text(body, "request_id"), {}};
+    auto const* list = body.if_contains("members");
+    auto is_valid =
+        list != nullptr && list->is_array() && !change.m_request_id.empty();
+    if (is_valid)
+    {
+        for (auto const& each : list->as_array())
+        {
+            auto const* replica = each.if_object();
+            auto added =
+                replica == nullptr ? std::nullopt : read_member(*replica);
+            is_valid = is_valid && added;
+            if (added)
+                change.m_members.push_back(std::move(*added));
+        }
+    }
+    if (is_valid)
+        ask(server, request, std::move(change));
+    else
+        refuse(server, request.m_exchange, 400,
+               "expected request_id and members, a list of objects with node "
+               "(16 hexadecimal digits), address and votes");
+}
+
+auto process::ask(net::http_server& server, net::http_request const& request,
+                  core::operation asked) -> void
+{
+    auto const exchange = add_exchange(server, request.m_exchange);
+    feed(core::operator_arrived{exchange, std::move(asked)});
+}
+
+auto process::add_exchange(net::http_server& server, core::exchange_id exchange,
+                           std::uint32_t schema_version) -> core::exchange_id
+{
+    m_exchanges[++m_exchange] = {&server, exchange, schema_version};
+    return m_exchange;
+}
+
+auto process::abandon(net::http_server& server, core::exchange_id exchange)
+    -> void
+{
+    for (auto const& [id, open] : m_exchanges)
+    {
+        if (open.m_server != &server || open.m_exchange != exchange)
+            continue;
+        auto const gone = id;
+        m_exchanges.erase(gone);
+        feed(core::request_abandoned{gone});
+        return;
+    }
+}
+
+auto process::refuse(net::http_server& server, core::exchange_id exchange,
+                     std::uint16_t status, std::string text) -> void
+{
+    auto const answer =
+        print_refusal(status, core::refused(core::reason::invalid, text));
+    server.answer(exchange, answer.m_status, answer.m_headers, answer.m_body);
+}
+
+auto process::answer(core::exchange_id exchange,
+                     net::http_answer const& printed) -> void
+{
+    auto const found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    auto const open = found->second;
+    m_exchanges.erase(found);
+    open.m_server->answer(open.m_exchange, printed.m_status, printed.m_headers,
+                          printed.m_body);
+}
+
+auto process::carry_out(core::reply& wanted) -> void
+{
+    auto const found = m_exchanges.find(wanted.m_exchange);
+    if (found == m_exchanges.end())
+        return;
+    answer(wanted.m_exchange,
+           print_reply(wanted, found->second.m_schema_version));
+}
+
+auto process::carry_out(core::reply_operator& wanted) -> void
+{
+    answer(wanted.m_exchange, print_operator_reply(wanted.m_result));
+}
+
+auto process::current_config() const -> core::configuration const&
+{
+    static auto const none = core::configuration{};
+    if (m_node.m_control)
+        return m_node.m_control->state().config();
+    if (m_node.m_entry)
+        return m_node.m_entry->config();
+    return m_node.m_agent ? m_node.m_agent->config() : none;
+}
+
+} // namespace hickorylatch::process
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -47,6 +47,17 @@
     return described::to_bytes(value);
 }
 
+auto encode(core::control_image const& value) -> std::string
+{
+    return described::to_bytes(value);
+}
+
+auto decode_control_image(std::string_view bytes)
+    -> boost::leaf::result<core::control_image>
+{
+    return decode<core::control_image>(bytes);
+}
+
 auto decode_message(std::string_view bytes)
     -> boost::leaf::result<core::message>
 {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_WIRE_CODEC_HPP
 #define HICKORYLATCH_WIRE_CODEC_HPP
 
+#include "core/control_state.hpp"
 #include "core/effect.hpp"
 #include "core/message.hpp"
 
@@ -23,6 +24,7 @@
 [[nodiscard]] auto encode(core::log_entry const& value) -> std::string;
 [[nodiscard]] auto encode(core::snapshot const& value) -> std::string;
 [[nodiscard]] auto encode(core::hard_state const& value) -> std::string;
+[[nodiscard]] auto encode(core::control_image const& value) -> std::string;
 
 /// Fail with `decode_error` if the bytes are not exactly one value or a
 /// declared length is larger than the input. Never allocate more than a small
@@ -33,6 +35,8 @@
     -> boost::leaf::result<core::log_entry>;
 [[nodiscard]] auto decode_snapshot(std::string_view bytes)
     -> boost::leaf::result<core::snapshot>;
+[[nodiscard]] auto decode_control_image(std::string_view bytes)
+    -> boost::leaf::result<core::control_image>;
 [[nodiscard]] auto decode_hard_state(std::string_view bytes)
     -> boost::leaf::result<core::hard_state>;
 
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -114,3 +114,14 @@
     BOOST_TEST(system->starts("too late") == 0U);
     BOOST_TEST(system->answer(refused) == nullptr);
 }
+
+// Guards against a path taken for idempotent because its name begins alike.
+BOOST_AUTO_TEST_CASE(idempotent_paths_match_whole_segments)
+{
+    auto const desk = core::service{"desk", {"/stock"}, 0, 0};
+    BOOST_TEST(core::is_idempotent(desk, "/stock"));
+    BOOST_TEST(core::is_idempotent(desk, "/stock/reels"));
+    BOOST_TEST(core::is_idempotent(desk, "/stock?reel=7"));
+    BOOST_TEST(!core::is_idempotent(desk, "/stocktaking"));
+    BOOST_TEST(!core::is_idempotent(desk, "/reserve"));
+}
