--- /dev/null
+++ b/tests/net/test_loop_parts.cpp
@@ -0,0 +1,128 @@
+#include "net/loop_runner.hpp"
+#include "net/process_signals.hpp"
+#include "net/storage_worker.hpp"
+#include "net/timer.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+#include <memory>
+#include <numeric>
+#include <optional>
+#include <span>
+#include <thread>
+#include <vector>
+
+namespace net = hickorylatch::net;
+
+// Guards against a replaced timer that still fires, and against a timer that
+// is destroyed by its own function.
+BOOST_AUTO_TEST_CASE(timer_fires_once_and_may_be_replaced)
+{
+    auto loop = net::event_loop{};
+    auto fired = 0;
+    auto counted = net::timer{loop, [&]
+                              {
+                                  ++fired;
+                              }};
+    counted.start_at(loop.now() + std::chrono::hours{1});
+    counted.start(std::chrono::milliseconds{-5});
+    auto ended = false;
+    auto owned = std::optional<net::timer>{};
+    owned.emplace(loop,
+                  [&]
+                  {
+                      owned.reset();
+                      ended = true;
+                  });
+    owned->start(std::chrono::milliseconds{5});
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return ended;
+                         }));
+    BOOST_TEST(fired == 1);
+    BOOST_TEST(!counted.is_running());
+    counted.start(std::chrono::hours{1});
+    counted.start_at(hickorylatch::core::never);
+    BOOST_TEST(!counted.is_running());
+}
+
+// Guards against SIGTERM ending the process in the middle of a request (I7).
+BOOST_AUTO_TEST_CASE(signals_arrive_on_the_loop)
+{
+    auto loop = net::event_loop{};
+    auto signals = net::process_signals{loop};
+    auto stops = 0;
+    auto reopens = 0;
+    signals.stop_requested().connect(
+        [&]
+        {
+            ++stops;
+        });
+    signals.reopen_requested().connect(
+        [&]
+        {
+            ++reopens;
+        });
+    for (auto const number : {SIGTERM, SIGHUP, SIGPIPE})
+        BOOST_TEST(std::raise(number) == 0);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return stops == 1 && reopens == 1;
+                         }));
+    BOOST_TEST(std::raise(SIGINT) == 0);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return stops == 2;
+                         }));
+}
+
+// Guards against writes out of order, against one sync for each of many queued
+// writes, and against completions on the wrong thread.
+BOOST_AUTO_TEST_CASE(storage_jobs_run_in_order_and_in_batches)
+{
+    auto loop = net::event_loop{};
+    auto gate = std::promise<void>{};
+    auto first_started = std::promise<void>{};
+    auto batches = std::vector<std::size_t>{};
+    auto completed = std::vector<int>{};
+    auto const own_thread = std::this_thread::get_id();
+    auto worker = std::make_unique<net::storage_worker<int>>(
+        loop,
+        [&](std::span<int> jobs)
+        {
+            if (batches.empty())
+            {
+                first_started.set_value();
+                gate.get_future().wait();
+            }
+            batches.push_back(jobs.size());
+            for (auto& job : jobs)
+                job *= 10;
+        },
+        [&](std::vector<int> const& jobs)
+        {
+            BOOST_TEST((std::this_thread::get_id() == own_thread));
+            completed.insert(completed.end(), jobs.begin(), jobs.end());
+        });
+    worker->enqueue(0);
+    first_started.get_future().wait();
+    for (auto job = 1; job < 50; ++job)
+        worker->enqueue(job);
+    gate.set_value();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return completed.size() == 50U;
+                         }));
+    BOOST_TEST(batches.size() == 2U);
+    for (auto job = 0; job < 50; ++job)
+        BOOST_TEST(completed[job] == job * 10);
+    worker->enqueue(50);
+    worker.reset();
+    BOOST_TEST(batches.size() == 3U);
+}
