--- /dev/null
+++ b/src/emulator/echo.hpp
@@ -0,0 +1,42 @@
+#ifndef HICKORYLATCH_EMULATOR_ECHO_HPP
+#define HICKORYLATCH_EMULATOR_ECHO_HPP
+
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickorylatch::emulator
+{
+
+/// Member of a JSON request body that sets the run time in milliseconds.
+inline constexpr auto run_time_member = std::string_view{"emulate_run_ms"};
+
+/// What a stand-in answers to a request that ran.
+struct echo
+{
+    /// `request_digest` of the request.
+    std::string m_digest;
+    /// Time that the request ran.
+    core::duration m_run_time{0};
+};
+
+/// Digest of a request's path, without slashes at its start, and body.
+[[nodiscard]] auto request_digest(std::string_view path, std::string_view body)
+    -> std::string;
+
+/// The answer as JSON text.
+[[nodiscard]] auto print_echo(echo const& answer) -> std::string;
+
+/// Empty if the text is not an answer of a stand-in.
+[[nodiscard]] auto parse_echo(std::string_view text) -> std::optional<echo>;
+
+/// The run time asked for in a JSON request body, if any.
+[[nodiscard]] auto requested_run_time(std::string_view body)
+    -> std::optional<core::duration>;
+
+} // namespace hickorylatch::emulator
+
+#endif
--- /dev/null
+++ b/src/emulator/endpoint_counts.cpp
@@ -0,0 +1,75 @@
+#include "emulator/endpoint_counts.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace hickorylatch::emulator
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr auto printed_attempts = std::size_t{100};
+
+} // namespace
+
+auto endpoint_counts::add_start(std::string_view attempt, std::string_view path,
+                                std::string_view digest) -> void
+{
+    ++m_started;
+    ++m_running;
+    m_most_running = std::max(m_most_running, m_running);
+    if (!attempt.empty() && ++m_attempts[std::string{attempt}] > 1)
+        ++m_double_starts;
+    if (++m_contents[std::string{digest}] > 1)
+        ++m_repeated[std::string{path}];
+}
+
+auto endpoint_counts::add_end() -> void
+{
+    --m_running;
+}
+
+auto endpoint_counts::starts_of(std::string const& attempt) const
+    -> std::uint32_t
+{
+    auto const found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? 0 : found->second;
+}
+
+auto endpoint_counts::double_starts() const -> std::uint64_t
+{
+    return m_double_starts;
+}
+
+auto endpoint_counts::print() const -> std::string
+{
+    auto doubled = json::object{};
+    for (auto const& [attempt, starts] : m_attempts)
+    {
+        if (starts > 1 && doubled.size() < printed_attempts)
+            doubled.emplace(attempt, starts);
+    }
+    auto repeated = json::object{};
+    for (auto const& [path, starts] : m_repeated)
+        repeated.emplace(path, starts);
+    return json::serialize(json::object{{"started", m_started},
+                                        {"answered", m_answered},
+                                        {"refused", m_refused},
+                                        {"failed", m_failed},
+                                        {"stopped", m_stopped},
+                                        {"abandoned", m_abandoned},
+                                        {"running", m_running},
+                                        {"most_running", m_most_running},
+                                        {"attempts", m_attempts.size()},
+                                        {"double_starts", m_double_starts},
+                                        {"doubled", std::move(doubled)},
+                                        {"repeated", std::move(repeated)}});
+}
+
+} // namespace hickorylatch::emulator
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -74,9 +74,12 @@
     evhttp_connection_get_peer(connection, &host, &port);
     if (host == nullptr)
         return {};
-    auto const text = std::string{host};
-    auto const is_v6 = text.find(':') != std::string::npos;
-    return (is_v6 ? "[" + text + "]" : text) + ":" + std::to_string(port);
+    auto const is_v6 =
+        std::string_view{host}.find(':') != std::string_view::npos;
+    auto text = std::string{is_v6 ? "[" : ""};
+    text += host;
+    text += is_v6 ? "]:" : ":";
+    return text + std::to_string(port);
 }
 
 auto to_request(evhttp_request* source) -> http_request
@@ -223,6 +226,15 @@
         evhttp_add_header(output, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
                  body.size());
+    auto const sent = [](evhttp_request* done, void* self)
+    {
+        static_cast<http_server*>(self)->answer_sent(
+            evhttp_request_get_connection(done));
+    };
+    evhttp_request_set_on_complete_cb(request, sent, this);
+    m_connections.at(evhttp_request_get_connection(request)).m_is_sending =
+        true;
+    ++m_sending;
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
@@ -241,6 +253,8 @@
     if (!raw_bytes.empty())
         ::send(socket, raw_bytes.data(), raw_bytes.size(), MSG_NOSIGNAL);
     evhttp_connection_free(connection);
+    if (is_idle())
+        m_became_idle.emit();
 }
 
 auto http_server::open_exchanges() const -> std::size_t
@@ -253,6 +267,16 @@
     return m_connections.size() + m_pending.size();
 }
 
+auto http_server::is_idle() const -> bool
+{
+    return m_exchanges.empty() && m_sending == 0;
+}
+
+auto http_server::became_idle() -> sigc::signal<void()>&
+{
+    return m_became_idle;
+}
+
 auto http_server::exchange_abandoned() -> sigc::signal<void(core::exchange_id)>&
 {
     return m_exchange_abandoned;
@@ -333,11 +357,23 @@
         this);
 }
 
+auto http_server::answer_sent(evhttp_connection* connection) -> void
+{
+    auto const found = m_connections.find(connection);
+    if (found == m_connections.end() ||
+        !std::exchange(found->second.m_is_sending, false))
+        return;
+    --m_sending;
+    if (is_idle())
+        m_became_idle.emit();
+}
+
 auto http_server::connection_closed(evhttp_connection* connection) -> void
 {
     auto const found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
+    answer_sent(connection);
     auto const state = found->second;
     m_connections.erase(found);
     m_served -= state.m_is_served ? 1 : 0;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -78,6 +78,11 @@
     /// Connections counted against the limit.
     [[nodiscard]] auto connections() const -> std::size_t;
 
+    /// There are no open exchanges, and every answer was handed to the kernel.
+    [[nodiscard]] auto is_idle() const -> bool;
+
+    /// `is_idle` became true.
+    auto became_idle() -> sigc::signal<void()>&;
     /// The client closed its sending side before it was answered.
     auto exchange_abandoned() -> sigc::signal<void(core::exchange_id)>&;
 
@@ -88,6 +93,8 @@
     {
         /// Within the limit.
         bool m_is_served = false;
+        /// An answer is not handed to the kernel yet.
+        bool m_is_sending = false;
         /// Last exchange on this connection.
         core::exchange_id m_exchange = 0;
     };
@@ -95,6 +102,7 @@
     auto add_connection() -> bufferevent*;
     auto handle_request(evhttp_request* request) -> void;
     auto track(evhttp_connection* connection) -> void;
+    auto answer_sent(evhttp_connection* connection) -> void;
     auto connection_closed(evhttp_connection* connection) -> void;
     auto client_closed(core::exchange_id exchange) -> void;
     auto check_pending() -> void;
@@ -114,7 +122,9 @@
     /// Connections that have.
     std::unordered_map<evhttp_connection*, connection_state> m_connections;
     std::size_t m_served = 0;
+    std::size_t m_sending = 0;
     timer m_pending_check;
+    sigc::signal<void()> m_became_idle;
     sigc::signal<void(core::exchange_id)> m_exchange_abandoned;
 };
 
--- a/src/net/socket_address.cpp
+++ b/src/net/socket_address.cpp
@@ -1,6 +1,7 @@
 #include "net/socket_address.hpp"
 
 #include "net/error.hpp"
+#include "settings/address.hpp"
 
 #include <boost/leaf/error.hpp>
 
@@ -9,9 +10,7 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstring>
-#include <system_error>
 
 namespace hickorylatch::net
 {
@@ -27,39 +26,26 @@
 auto socket_address::parse(std::string_view text)
     -> leaf::result<socket_address>
 {
-    auto const malformed = [text]
+    auto const parsed = settings::parse_address(text);
+    if (!parsed)
     {
         return leaf::new_error(error{"address \"" + std::string{text} +
                                      "\" is not of the form ip:port"});
-    };
-    auto const colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return malformed();
-    auto const host = text.substr(0, colon);
-    auto const digits = text.substr(colon + 1);
-    auto port = std::uint16_t{0};
-    auto const parsed =
-        std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size())
-        return malformed();
+    }
     auto address = socket_address{};
-    if (host.starts_with('[') && host.ends_with(']'))
+    auto& v6 = reinterpret_cast<sockaddr_in6&>(address.m_storage);
+    if (inet_pton(AF_INET6, parsed->m_ip.c_str(), &v6.sin6_addr) == 1)
     {
-        auto& v6 = reinterpret_cast<sockaddr_in6&>(address.m_storage);
         v6.sin6_family = AF_INET6;
-        v6.sin6_port = htons(port);
+        v6.sin6_port = htons(parsed->m_port);
         address.m_size = sizeof v6;
-        auto const inner = std::string{host.substr(1, host.size() - 2)};
-        if (inet_pton(AF_INET6, inner.c_str(), &v6.sin6_addr) != 1)
-            return malformed();
         return address;
     }
     auto& v4 = reinterpret_cast<sockaddr_in&>(address.m_storage);
+    inet_pton(AF_INET, parsed->m_ip.c_str(), &v4.sin_addr);
     v4.sin_family = AF_INET;
-    v4.sin_port = htons(port);
+    v4.sin_port = htons(parsed->m_port);
     address.m_size = sizeof v4;
-    if (inet_pton(AF_INET, std::string{host}.c_str(), &v4.sin_addr) != 1)
-        return malformed();
     return address;
 }
 
@@ -106,10 +92,11 @@
 
 auto socket_address::text() const -> std::string
 {
-    auto const port_text = ":" + std::to_string(port());
-    if (m_storage.ss_family == AF_INET6)
-        return "[" + host() + "]" + port_text;
-    return host() + port_text;
+    auto const is_v6 = m_storage.ss_family == AF_INET6;
+    auto text = std::string{is_v6 ? "[" : ""};
+    text += host();
+    text += is_v6 ? "]:" : ":";
+    return text + std::to_string(port());
 }
 
 } // namespace hickorylatch::net
