--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -347,6 +347,11 @@
     return m_replica.identity();
 }
 
+auto control::address() const -> std::string const&
+{
+    return m_address;
+}
+
 auto control::cluster() const -> std::uint64_t
 {
     return m_replica.cluster();
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -49,6 +49,8 @@
     auto tick(time_point now, random_source& random, effects& out) -> void;
 
     [[nodiscard]] auto identity() const -> node_id;
+    /// Where other processes connect.
+    [[nodiscard]] auto address() const -> std::string const&;
     [[nodiscard]] auto cluster() const -> std::uint64_t;
     [[nodiscard]] auto is_leading(time_point now) const -> bool;
     [[nodiscard]] auto next_deadline(time_point now) const -> time_point;
--- a/src/core/status_document.cpp
+++ b/src/core/status_document.cpp
@@ -124,6 +124,7 @@
     auto const& log = shown.log();
     return json::serialize(json::object{
         {"node", to_hexadecimal(log.identity())},
+        {"address", shown.address()},
         {"cluster", to_hexadecimal(node_id{log.cluster()})},
         {"leader", to_hexadecimal(log.leader())},
         {"leading", shown.is_leading(now)},
--- /dev/null
+++ b/src/hickorylatch/ctl_command.cpp
@@ -0,0 +1,367 @@
+#include "hickorylatch/ctl_command.hpp"
+
+#include "hickorylatch/document_printer.hpp"
+#include "hickorylatch/member_replacement.hpp"
+#include "hickorylatch/operator_client.hpp"
+#include "net/error.hpp"
+#include "storage/inspect.hpp"
+#include "storage/storage_error.hpp"
+
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <cxxopts.hpp>
+
+#include <array>
+#include <exception>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+namespace hickorylatch::program
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr auto exit_done = 0;
+constexpr auto exit_refused = 1;
+constexpr auto exit_usage = 2;
+constexpr auto exit_unknown = 3;
+
+/// Wrong usage, with a hint.
+struct usage_error : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+/// What the command line says.
+struct ctl_call
+{
+    std::string m_address;
+    std::string m_new_address;
+    std::string m_request_id;
+    bool m_wants_json = false;
+    core::duration m_timeout{0};
+    std::vector<std::string> m_words;
+
+    /// Word after the command, or a usage error that names it.
+    [[nodiscard]] auto word(std::size_t place, std::string_view name) const
+        -> std::string const&
+    {
+        if (place >= m_words.size())
+            throw usage_error{m_words.front() + " needs " + std::string{name}};
+        return m_words[place];
+    }
+};
+
+auto target(std::string const& address) -> net::socket_address
+{
+    return boost::leaf::try_handle_all(
+        [&]
+        {
+            return net::socket_address::parse(address);
+        },
+        [](net::error const& error) -> net::socket_address
+        {
+            throw usage_error{error.m_text};
+        },
+        [&]() -> net::socket_address
+        {
+            throw usage_error{address};
+        });
+}
+
+auto read_file(std::string const& name) -> std::string
+{
+    auto in = std::ifstream{name};
+    if (!in)
+        throw usage_error{name + ": the file can't be read"};
+    auto text = std::ostringstream{};
+    text << in.rdbuf();
+    return text.str();
+}
+
+auto show(ctl_call const& call, net::http_result const& result) -> int
+{
+    if (result.m_run != core::run_state::ran)
+    {
+        std::cerr << "hickorylatch ctl: " << call.m_address << ": "
+                  << result.m_error << '\n';
+        return result.m_run == core::run_state::not_run ? exit_refused
+                                                        : exit_unknown;
+    }
+    if (call.m_wants_json)
+        std::cout << result.m_answer.m_body << '\n';
+    else
+        print_document(std::cout, result.m_answer.m_body);
+    if (result.m_answer.m_status < 300)
+        return exit_done;
+    auto const verdict =
+        net::find_header(result.m_answer.m_headers, "Hickorylatch-Verdict");
+    return verdict == "may_have_run" ? exit_unknown : exit_refused;
+}
+
+auto ask(ctl_call const& call, std::string_view path) -> int
+{
+    auto client = operator_client{target(call.m_address), call.m_timeout};
+    return show(call, client.get(path));
+}
+
+auto tell(ctl_call const& call, std::string_view path, std::string_view body)
+    -> int
+{
+    auto client = operator_client{target(call.m_address), call.m_timeout};
+    return show(call, client.post(path, body));
+}
+
+auto cancel(ctl_call const& call) -> int
+{
+    return tell(call, "/v1/jobs/cancel",
+                json::serialize(json::object{
+                    {"request_id", call.m_request_id},
+                    {"customer", call.word(1, "a customer and a key")},
+                    {"key", call.word(2, "a customer and a key")}}));
+}
+
+auto found(ctl_call const& call) -> int
+{
+    auto count = std::int64_t{0};
+    try
+    {
+        count = std::stoll(call.word(1, "the number of members"));
+    }
+    catch (std::logic_error const&)
+    {
+        throw usage_error{"found needs the number of members, such as 3"};
+    }
+    return tell(call, "/v1/found",
+                json::serialize(json::object{{"members", count}}));
+}
+
+/// Puts a name on the list of drained endpoints and workers or takes it off.
+auto drain(ctl_call const& call, bool is_drained) -> int
+{
+    auto const& name = call.word(1, "the name of an endpoint or worker");
+    auto client = operator_client{target(call.m_address), call.m_timeout};
+    auto const answer = client.get("/v1/configuration");
+    auto error = boost::system::error_code{};
+    auto record = json::parse(answer.m_answer.m_body, error);
+    if (error || answer.m_answer.m_status != 200)
+        return show(call, answer);
+    auto& config = record.as_object();
+    auto kept = json::array{};
+    for (auto const& each : config["drained"].as_array())
+    {
+        if (each.as_string() != name)
+            kept.push_back(each);
+    }
+    if (is_drained)
+        kept.push_back(json::string{name});
+    config["drained"] = std::move(kept);
+    config["schema_version"] = 2;
+    config["request_id"] = call.m_request_id;
+    config["expected_version"] = config["version"];
+    config.erase("version");
+    return show(call,
+                client.post("/v1/configuration", json::serialize(config)));
+}
+
+auto replace_member(ctl_call const& call) -> int
+{
+    auto leader_side = operator_client{target(call.m_address), call.m_timeout};
+    if (call.m_new_address.empty())
+        throw usage_error{"replace-member needs --new IP:PORT, the operators' "
+                          "address of the new replica"};
+    auto newcomer = operator_client{target(call.m_new_address), call.m_timeout};
+    auto const why = member_replacement{leader_side, newcomer}.run(
+        call.word(1, "the node of the member to replace"), call.m_request_id);
+    if (why.empty())
+    {
+        std::cout << "replaced\n";
+        return exit_done;
+    }
+    std::cerr << "hickorylatch ctl: " << why << '\n';
+    return exit_refused;
+}
+
+auto inspect(ctl_call const& call) -> int
+{
+    auto const& folder = call.word(1, "a data folder");
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int>
+        {
+            BOOST_LEAF_CHECK(storage::inspect(folder, std::cout));
+            return exit_done;
+        },
+        [](storage::storage_error const& error)
+        {
+            std::cerr << "hickorylatch ctl: " << to_string(error) << '\n';
+            return exit_refused;
+        },
+        []
+        {
+            return exit_refused;
+        });
+}
+
+/// One command of `hickorylatch ctl`.
+struct ctl_command
+{
+    std::string_view m_name;
+    std::string_view m_help;
+    std::function<int(ctl_call const&)> m_run;
+};
+
+auto commands() -> std::vector<ctl_command> const&
+{
+    static auto const all = std::vector<ctl_command>{
+        {"status", "replica, leader and members",
+         [](ctl_call const& call)
+         {
+             return ask(call, "/v1/status");
+         }},
+        {"agents", "endpoints and workers with their state",
+         [](ctl_call const& call)
+         {
+             return ask(call, "/v1/agents");
+         }},
+        {"jobs", "jobs kept for resends",
+         [](ctl_call const& call)
+         {
+             return ask(call, "/v1/jobs");
+         }},
+        {"configuration", "configuration in force",
+         [](ctl_call const& call)
+         {
+             return ask(call, "/v1/configuration");
+         }},
+        {"metrics", "metrics of the process asked",
+         [](ctl_call const& call)
+         {
+             return ask(call, "/metrics");
+         }},
+        {"configure FILE", "put a configuration record in force",
+         [](ctl_call const& call)
+         {
+             return tell(call, "/v1/configuration",
+                         read_file(call.word(1, "a record file")));
+         }},
+        {"submit FILE", "submit a job record and wait for its answer",
+         [](ctl_call const& call)
+         {
+             return tell(call, "/v1/jobs",
+                         read_file(call.word(1, "a record file")));
+         }},
+        {"cancel CUSTOMER KEY", "cancel a job", cancel},
+        {"drain NAME", "give an endpoint or worker no new work",
+         [](ctl_call const& call)
+         {
+             return drain(call, true);
+         }},
+        {"undrain NAME", "give it work again",
+         [](ctl_call const& call)
+         {
+             return drain(call, false);
+         }},
+        {"found MEMBERS", "found the control group (ask a control process)",
+         found},
+        {"replace-member NODE", "replace a control member, with --new",
+         replace_member},
+        {"inspect FOLDER", "print a data folder without changing it", inspect},
+    };
+    return all;
+}
+
+auto command_name(ctl_command const& command) -> std::string_view
+{
+    return command.m_name.substr(0, command.m_name.find(' '));
+}
+
+auto print_commands(std::ostream& out) -> void
+{
+    out << "\nCommands:\n";
+    for (auto const& each : commands())
+        out << "  " << each.m_name << std::string(24 - each.m_name.size(), ' ')
+            << each.m_help << '\n';
+    out << "\nExit codes: 0 done, 1 refused or failed without effect,\n"
+           "            2 wrong usage, 3 outcome unknown: the same call may be "
+           "repeated\n            with the same --request-id.\n";
+}
+
+auto new_request_id() -> std::string
+{
+    auto device = std::random_device{};
+    return "ctl-" + std::to_string(device()) + "-" + std::to_string(device());
+}
+
+auto run(std::span<std::string const> arguments) -> int
+{
+    auto options = cxxopts::Options{"hickorylatch ctl", "Operates the system."};
+    options.add_options()(
+        "a,address", "operators' address of a process",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:21111"),
+        "IP:PORT")("new", "operators' address of the new replica",
+                   cxxopts::value<std::string>()->default_value(""), "IP:PORT")(
+        "request-id", "names the change, so that it can be repeated safely",
+        cxxopts::value<std::string>())("json", "print JSON as received")(
+        "timeout-s", "seconds to wait for an answer",
+        cxxopts::value<unsigned>()->default_value("3600"))(
+        "words", "command and its arguments",
+        cxxopts::value<std::vector<std::string>>())("h,help",
+                                                    "print this text");
+    options.parse_positional({"words"});
+    options.positional_help("COMMAND [ARGUMENT...]");
+    auto texts = std::vector<char const*>{"hickorylatch"};
+    for (auto const& argument : arguments)
+        texts.push_back(argument.c_str());
+    auto const parsed =
+        options.parse(static_cast<int>(texts.size()), texts.data());
+    if (parsed.count("help") != 0)
+    {
+        std::cout << options.help();
+        print_commands(std::cout);
+        return exit_done;
+    }
+    if (parsed.count("words") == 0)
+        throw usage_error{"no command given"};
+    auto call = ctl_call{};
+    call.m_address = parsed["address"].as<std::string>();
+    call.m_new_address = parsed["new"].as<std::string>();
+    call.m_request_id = parsed.count("request-id") != 0
+                            ? parsed["request-id"].as<std::string>()
+                            : new_request_id();
+    call.m_wants_json = parsed.count("json") != 0;
+    call.m_timeout = std::chrono::seconds{parsed["timeout-s"].as<unsigned>()};
+    call.m_words = parsed["words"].as<std::vector<std::string>>();
+    for (auto const& each : commands())
+    {
+        if (command_name(each) == call.m_words.front())
+            return each.m_run(call);
+    }
+    throw usage_error{"unknown command '" + call.m_words.front() + "'"};
+}
+
+} // namespace
+
+auto ctl_main(std::span<std::string const> arguments) -> int
+{
+    try
+    {
+        return run(arguments);
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "hickorylatch ctl: " << error.what()
+                  << "; 'hickorylatch ctl --help' lists the commands\n";
+        return exit_usage;
+    }
+}
+
+} // namespace hickorylatch::program
--- a/src/hickorylatch/main.cpp
+++ b/src/hickorylatch/main.cpp
@@ -1,4 +1,7 @@
+#include "emulator/emulate_command.hpp"
+#include "emulator/load_command.hpp"
 #include "hickorylatch/check_command.hpp"
+#include "hickorylatch/ctl_command.hpp"
 #include "hickorylatch/serve_command.hpp"
 
 #include <array>
@@ -28,6 +31,11 @@
         {"serve", "run the roles that a settings file names",
          program::serve_main},
         {"check", "validate a settings file", program::check_main},
+        {"ctl", "operate the system", program::ctl_main},
+        {"emulate", "stand in for endpoints and workers",
+         hickorylatch::emulator::emulate_main},
+        {"load", "send a load of requests and report what was measured",
+         hickorylatch::emulator::load_main},
     };
     return all;
 }
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -157,7 +157,7 @@
     auto const& path = request.m_path;
     auto const is_post = request.m_method == "POST";
     auto const body = read_object(request.m_body);
-    if (path == "/v1/configuration" && request.m_method == "PUT")
+    if (path == "/v1/configuration" && (is_post || request.m_method == "PUT"))
     {
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void>
