Replace the one-member log by the replicated log

The log committed only for a group of one.

Replies to the leader carry the send time of what they answer, so a frozen leader cannot take old replies for a present quorum.

A learner must now hold the entry that lists it before it becomes a voter. - A group that lost one of two founded members before the third was founded had no quorum.

--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -269,17 +269,22 @@
     term_number m_last_term = 0;
     /// True asks only whether a vote would be given; changes no state.
     bool m_is_probe = false;
+    /// Start of the round by the sender's clock, echoed in the reply.
+    time_point m_sent_at{0};
 };
 BOOST_DESCRIBE_STRUCT(vote_request, (),
-                      (m_term, m_last_index, m_last_term, m_is_probe))
+                      (m_term, m_last_index, m_last_term, m_is_probe,
+                       m_sent_at))
 
 struct vote_reply
 {
     term_number m_term = 0;
     bool m_granted = false;
     bool m_is_probe = false;
+    time_point m_sent_at{0};
 };
-BOOST_DESCRIBE_STRUCT(vote_reply, (), (m_term, m_granted, m_is_probe))
+BOOST_DESCRIBE_STRUCT(vote_reply, (),
+                      (m_term, m_granted, m_is_probe, m_sent_at))
 
 struct append_request
 {
@@ -302,8 +307,11 @@
     /// Last index synced at the follower, or a hint where to retry.
     log_index m_index = 0;
     time_point m_sent_at{0};
+    /// The follower holds no state at all, not even the founding one.
+    bool m_is_blank = false;
 };
-BOOST_DESCRIBE_STRUCT(append_reply, (), (m_term, m_matched, m_index, m_sent_at))
+BOOST_DESCRIBE_STRUCT(append_reply, (),
+                      (m_term, m_matched, m_index, m_sent_at, m_is_blank))
 
 /// One part of a snapshot, in order.
 struct install_snapshot
@@ -315,15 +323,19 @@
     std::string m_data;
     bool m_is_last = false;
     time_point m_sent_at{0};
+    std::uint64_t m_cluster = 0;
+    /// Membership as of the last index.
+    std::vector<member> m_members{};
 };
 BOOST_DESCRIBE_STRUCT(install_snapshot, (),
                       (m_term, m_last_index, m_last_term, m_offset, m_data,
-                       m_is_last, m_sent_at))
+                       m_is_last, m_sent_at, m_cluster, m_members))
 
 struct install_reply
 {
     term_number m_term = 0;
     log_index m_last_index = 0;
+    /// Bytes received; the size of the snapshot once all of it has arrived.
     std::uint64_t m_next_offset = 0;
     time_point m_sent_at{0};
 };
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -1,5 +1,7 @@
 #include "core/replica.hpp"
 
+#include "core/membership.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,121 +9,428 @@
 {
 
 replica::replica(replica_settings settings, recovered_state recovered)
-    : m_settings{settings}, m_identity{recovered.m_identity},
-      m_hard{recovered.m_hard_state}, m_cluster{recovered.m_snapshot.m_cluster},
-      m_members{std::move(recovered.m_snapshot.m_members)},
-      m_first{recovered.m_snapshot.m_last_index + 1},
-      m_snapshot_term{recovered.m_snapshot.m_last_term},
-      m_commit{recovered.m_snapshot.m_last_index},
-      m_delivered{recovered.m_snapshot.m_last_index}
+    : m_settings{settings}, m_identity{recovered.m_identity}, m_log{std::move(
+                                                                  recovered)},
+      m_election{settings.m_election_minimum, settings.m_election_maximum},
+      m_replication{{settings.m_heartbeat, settings.m_quorum_timeout,
+                     settings.m_snapshot_part}},
+      m_commit{m_log.first_index() - 1}, m_delivered{m_commit}
 {
-    for (auto& entry : recovered.m_entries)
-        m_log.push_back(std::move(entry));
-    m_written = m_synced = last_index();
 }
 
-auto replica::start(time_point now, std::uint64_t, effects& out) -> void
+auto replica::start(time_point now, std::uint64_t seed, effects& out) -> void
 {
-    if (!is_member() || m_members.size() != 1)
-        return;
-    ++m_hard.m_term;
-    m_hard.m_voted_for = m_identity;
-    m_is_leader = true;
-    auto write = append_log{};
-    write.m_write = ++m_writes;
-    write.m_hard_state = m_hard;
-    m_outstanding.emplace_back(write.m_write, m_written);
-    out.emplace_back(std::move(write));
-    propose(begin_term{});
-    flush(now, out);
+    m_election.start(now, seed);
+    if (is_only_voter(members(), m_identity))
+        m_election.expire(now);
+    tick(now, out);
 }
 
-auto replica::tick(time_point, effects&) -> void
+auto replica::tick(time_point now, effects& out) -> void
 {
+    check_quorum(now);
+    if (may_campaign() && now >= m_election.deadline())
+        begin_probe(now, out);
+    flush(now, out);
 }
 
-auto replica::receive(time_point, node_id, message const&, effects&) -> void
+auto replica::receive(time_point now, node_id from, message const& incoming,
+                      effects& out) -> void
 {
+    check_quorum(now);
+    std::visit(
+        [&](auto const& each)
+        {
+            if constexpr (requires { handle(now, from, each, out); })
+                handle(now, from, each, out);
+        },
+        incoming);
+    flush(now, out);
 }
 
-auto replica::synced(time_point, std::uint64_t write, effects&) -> void
+auto replica::synced(time_point now, std::uint64_t write, effects& out) -> void
 {
-    while (!m_outstanding.empty() && m_outstanding.front().first <= write)
-    {
-        m_synced = std::max(m_synced, m_outstanding.front().second);
-        m_outstanding.pop_front();
-    }
-    if (m_is_leader && m_members.size() == 1)
-        m_commit = std::max(m_commit, m_synced);
+    m_log.synced(write);
+    for (auto& held : std::exchange(m_held, {}))
+        send_after(held.m_write, held.m_to, std::move(held.m_message), out);
+    if (m_election.phase() == election_phase::voting &&
+        m_log.is_synced(m_log.hard_write()))
+        count_vote(now, m_identity, out);
+    m_snapshots.save_installed(m_log, out);
+    check_quorum(now);
+    advance_commit(now);
+    flush(now, out);
 }
 
 auto replica::propose(command proposed) -> std::optional<log_index>
 {
     if (!m_is_leader)
         return std::nullopt;
-    auto const index = last_index() + 1;
-    m_log.push_back({index, m_hard.m_term, std::move(proposed)});
+    auto const* change = std::get_if<change_membership>(&proposed);
+    auto const is_change = change != nullptr;
+    if (is_change && !check_members(change->m_members).empty())
+        return std::nullopt;
+    auto const index = m_log.last_index() + 1;
+    m_log.append({index, term(), std::move(proposed)});
+    if (is_change)
+        m_replication.update(members(), m_identity, index - 1);
     return index;
 }
 
-auto replica::flush(time_point, effects& out) -> void
+auto replica::check_members(std::span<member const> wanted) const
+    -> std::string_view
 {
-    if (m_written == last_index())
-        return;
-    auto write = append_log{};
-    write.m_write = ++m_writes;
-    for (auto index = m_written + 1; index <= last_index(); ++index)
-        write.m_entries.push_back(m_log[index - m_first]);
-    m_written = last_index();
-    m_outstanding.emplace_back(write.m_write, m_written);
-    out.emplace_back(std::move(write));
+    if (!m_is_leader)
+        return "this replica does not lead";
+    // Before its first commit a leader can't know whether an earlier change
+    // is committed; two of them at once need not share a majority.
+    if (m_commit < m_term_start)
+        return "the leader has not committed anything in its term yet";
+    if (m_log.membership_index() > m_commit)
+        return "the last change of the membership is not committed yet";
+    for (auto const& each : wanted)
+    {
+        if (!each.m_votes || is_voter(members(), each.m_node))
+            continue;
+        if (!is_listed(members(), each.m_node))
+            return "a new voter has to be a learner first";
+        // It has to know that it is listed, or it would refuse to vote.
+        auto const match = m_replication.match(each.m_node);
+        if (match < std::max(m_log.membership_index(), log_index{1}) ||
+            match + m_settings.m_promotion_lag < m_commit)
+            return "the learner does not hold the state yet";
+    }
+    return check_change(members(), wanted);
+}
+
+auto replica::flush(time_point now, effects& out) -> void
+{
+    if (std::exchange(m_has_installed, false))
+        finish_installation(now, out);
+    if (m_is_leader)
+        m_replication.send_due(now, m_log, m_commit, out);
+    if (auto write = m_log.take_write())
+        out.emplace_back(std::move(*write));
 }
 
 auto replica::take_committed() -> std::vector<log_entry>
 {
     auto taken = std::vector<log_entry>{};
     while (m_delivered < m_commit)
-        taken.push_back(m_log[++m_delivered - m_first]);
+        taken.push_back(m_log.at(++m_delivered));
     return taken;
 }
 
 auto replica::take_installed() -> std::optional<snapshot>
 {
-    return std::nullopt;
+    return std::exchange(m_installed, std::nullopt);
 }
 
 auto replica::compact(log_index upto, std::string data, effects& out) -> void
 {
-    auto saved = snapshot{};
-    saved.m_last_index = upto;
-    saved.m_last_term = m_log[upto - m_first].m_term;
-    saved.m_members = m_members;
-    saved.m_cluster = m_cluster;
-    saved.m_data = std::move(data);
-    out.emplace_back(save_snapshot{std::move(saved)});
+    auto const newest =
+        std::max(m_snapshots.compacting_index(), m_log.first_index() - 1);
+    if (upto > newest && upto <= m_delivered && !m_snapshots.is_installing())
+        m_snapshots.compact(m_log.describe(upto, std::move(data)), out);
 }
 
 auto replica::snapshot_saved(log_index last) -> void
 {
-    while (!m_log.empty() && m_log.front().m_index <= last)
-    {
-        m_snapshot_term = m_log.front().m_term;
-        m_log.pop_front();
-        ++m_first;
-    }
+    auto const saved = m_snapshots.saved(last);
+    if (!saved || saved->m_last_index < m_log.first_index() - 1)
+        return;
+    if (cluster() == 0 || last > m_delivered)
+        m_has_installed = true;
+    m_log.take_over(saved);
+    m_commit = std::max(m_commit, last);
+    if (m_delivered >= last)
+        return;
+    m_delivered = last;
+    m_installed = *saved;
 }
 
 auto replica::found(std::uint64_t cluster, std::vector<member> members,
                     effects& out) -> void
 {
-    if (m_cluster != 0)
+    auto const is_blank = this->cluster() == 0 && !m_snapshots.is_installing();
+    if (!is_blank || cluster == 0 || !is_listed(members, m_identity))
         return;
-    m_cluster = cluster;
-    m_members = std::move(members);
     auto founding = snapshot{};
-    founding.m_members = m_members;
-    founding.m_cluster = m_cluster;
-    out.emplace_back(save_snapshot{std::move(founding)});
+    founding.m_members = std::move(members);
+    founding.m_cluster = cluster;
+    install(std::move(founding), out);
+}
+
+auto replica::handle(time_point now, node_id from, vote_request const& request,
+                     effects& out) -> void
+{
+    if (!is_listed(members(), m_identity))
+        return;
+    auto const is_quiet = m_is_leader || m_election.is_quiet(now);
+    if (request.m_is_probe)
+    {
+        auto const is_granted =
+            request.m_term > term() && !is_quiet && is_up_to_date(request);
+        respond(from,
+                vote_reply{is_granted ? request.m_term : term(), is_granted,
+                           true, request.m_sent_at},
+                out);
+        return;
+    }
+    // A healthy leader is not unseated, so not even the term is taken over.
+    if (is_quiet)
+        return;
+    adopt_term(now, request.m_term);
+    auto const voted_for = m_log.hard().m_voted_for;
+    auto const is_granted = request.m_term == term() &&
+                            (voted_for == no_node || voted_for == from) &&
+                            is_up_to_date(request);
+    if (is_granted)
+    {
+        m_log.set_hard({term(), from});
+        m_election.postpone(now);
+    }
+    respond(from, vote_reply{term(), is_granted, false, request.m_sent_at},
+            out);
+}
+
+auto replica::handle(time_point now, node_id from, vote_reply const& reply,
+                     effects& out) -> void
+{
+    if (!reply.m_granted)
+        return adopt_term(now, reply.m_term);
+    if (m_is_leader && !reply.m_is_probe && reply.m_term == term())
+        return m_replication.heard(from, reply.m_sent_at);
+    auto const phase =
+        reply.m_is_probe ? election_phase::probing : election_phase::voting;
+    auto const wanted = reply.m_is_probe ? term() + 1 : term();
+    if (m_election.phase() == phase && reply.m_term == wanted &&
+        reply.m_sent_at == m_election.round())
+        count_vote(now, from, out);
+}
+
+auto replica::handle(time_point now, node_id from,
+                     append_request const& request, effects& out) -> void
+{
+    auto const sent_at = request.m_sent_at;
+    if (request.m_term < term())
+        return respond(from, append_reply{term(), false, m_commit, sent_at},
+                       out);
+    follow(now, from, request.m_term);
+    if (m_snapshots.is_installing())
+        return respond(from,
+                       install_reply{term(), m_snapshots.installing_index(),
+                                     m_snapshots.next_offset(), sent_at},
+                       out);
+    auto reply = append_reply{term(), false, m_commit, sent_at, cluster() == 0};
+    if (reply.m_is_blank)
+        return respond(from, reply, out);
+    if (auto const hint = m_log.retry_after(request.m_previous_index,
+                                            request.m_previous_term, m_commit))
+    {
+        reply.m_index = *hint;
+        return respond(from, reply, out);
+    }
+    reply.m_matched = true;
+    reply.m_index = request.m_previous_index + request.m_entries.size();
+    auto const is_changed = m_log.merge(request.m_entries);
+    m_commit = std::max(m_commit, std::min(request.m_commit, reply.m_index));
+    if (is_changed)
+        return send_after(m_log.last_write(), from, reply, out);
+    reply.m_index = std::min(reply.m_index, m_log.synced_index());
+    respond(from, reply, out);
+}
+
+auto replica::handle(time_point now, node_id from, append_reply const& reply,
+                     effects&) -> void
+{
+    adopt_term(now, reply.m_term);
+    if (!m_is_leader || reply.m_term != term())
+        return;
+    m_replication.handle(now, from, reply, m_log);
+    advance_commit(now);
+}
+
+auto replica::handle(time_point now, node_id from, install_snapshot const& part,
+                     effects& out) -> void
+{
+    auto reply = install_reply{term(), part.m_last_index, 0, part.m_sent_at};
+    if (part.m_term < term())
+        return respond(from, reply, out);
+    if (cluster() != 0 && part.m_cluster != cluster())
+        return;
+    follow(now, from, part.m_term);
+    reply.m_term = term();
+    if (cluster() != 0 && part.m_last_index <= m_commit)
+        return respond(from,
+                       append_reply{term(), true,
+                                    std::min(m_commit, m_log.synced_index()),
+                                    part.m_sent_at},
+                       out);
+    if (!m_snapshots.is_installing())
+        if (auto received = m_snapshots.add(part))
+            install(std::move(*received), out);
+    if (!m_snapshots.is_installing() ||
+        m_snapshots.installing_index() == part.m_last_index)
+        reply.m_next_offset = m_snapshots.next_offset();
+    respond(from, reply, out);
+}
+
+auto replica::handle(time_point now, node_id from, install_reply const& reply,
+                     effects&) -> void
+{
+    adopt_term(now, reply.m_term);
+    if (m_is_leader && reply.m_term == term())
+        m_replication.handle(now, from, reply);
+}
+
+auto replica::handle(time_point, node_id, found_group const& founding,
+                     effects& out) -> void
+{
+    found(founding.m_cluster, founding.m_members, out);
+}
+
+auto replica::send_after(std::uint64_t write, node_id to, message content,
+                         effects& out) -> void
+{
+    if (m_log.is_synced(write))
+        out.emplace_back(send{to, std::move(content)});
+    else
+        m_held.push_back({write, to, std::move(content)});
+}
+
+auto replica::respond(node_id to, message content, effects& out) -> void
+{
+    send_after(m_log.hard_write(), to, std::move(content), out);
+}
+
+auto replica::send_to_voters(message const& content, effects& out) -> void
+{
+    for (auto const& each : members())
+        if (each.m_votes && each.m_node != m_identity)
+            respond(each.m_node, content, out);
+}
+
+auto replica::begin_probe(time_point now, effects& out) -> void
+{
+    m_leader = no_node;
+    m_election.begin(now, election_phase::probing);
+    // Repeats the founding for members that missed it: until they hold it they
+    // can't vote. Members of uncommitted entries might be rolled back.
+    auto const& base = *m_log.latest_snapshot();
+    send_to_voters(found_group{base.m_cluster, base.m_members}, out);
+    send_to_voters(vote_request{term() + 1, m_log.last_index(),
+                                m_log.last_term(), true, now},
+                   out);
+    count_vote(now, m_identity, out);
+}
+
+auto replica::begin_vote(time_point now, effects& out) -> void
+{
+    m_log.set_hard({term() + 1, m_identity});
+    m_election.begin(now, election_phase::voting);
+    send_to_voters(
+        vote_request{term(), m_log.last_index(), m_log.last_term(), false, now},
+        out);
+}
+
+auto replica::count_vote(time_point now, node_id voter, effects& out) -> void
+{
+    m_election.grant(voter);
+    if (!m_election.is_won(members()))
+        return;
+    if (m_election.phase() == election_phase::probing)
+        begin_vote(now, out);
+    else if (m_election.phase() == election_phase::voting)
+        lead(now);
+}
+
+auto replica::lead(time_point now) -> void
+{
+    m_replication.start(members(), m_identity, m_log.last_index());
+    for (auto const& each : members())
+        if (m_election.has_granted(each.m_node))
+            m_replication.heard(each.m_node, m_election.round());
+    m_election.stop();
+    m_is_leader = true;
+    m_leader = m_identity;
+    m_term_start = m_log.last_index() + 1;
+    propose(begin_term{});
+    check_quorum(now);
+}
+
+auto replica::step_down(time_point now) -> void
+{
+    m_is_leader = false;
+    m_leader = no_node;
+    m_replication.stop();
+    m_election.postpone(now);
+}
+
+auto replica::check_quorum(time_point now) -> void
+{
+    if (m_is_leader && !is_in_touch(now))
+        step_down(now);
+}
+
+auto replica::adopt_term(time_point now, term_number term) -> void
+{
+    if (term <= this->term())
+        return;
+    if (m_is_leader)
+        step_down(now);
+    m_election.stop();
+    m_leader = no_node;
+    m_log.set_hard({term, no_node});
+}
+
+auto replica::follow(time_point now, node_id leader, term_number term) -> void
+{
+    adopt_term(now, term);
+    m_leader = leader;
+    m_election.heard_leader(now);
+}
+
+auto replica::advance_commit(time_point now) -> void
+{
+    if (!m_is_leader)
+        return;
+    auto const agreed =
+        m_replication.agreed_index(members(), m_identity, m_log.synced_index());
+    // Entries of earlier terms are committed only by one of this term.
+    if (agreed > m_commit && m_log.term_at(agreed) == term())
+        m_commit = agreed;
+    if (!is_voter(members(), m_identity) &&
+        m_log.membership_index() <= m_commit)
+        step_down(now);
+}
+
+auto replica::install(snapshot received, effects& out) -> void
+{
+    auto const last = received.m_last_index;
+    auto const held = m_log.term_at(last);
+    // Were the snapshot saved first, a crash could leave conflicting entries
+    // behind it.
+    if (held && held != received.m_last_term)
+        m_log.truncate(last);
+    m_snapshots.install(std::move(received), m_log.last_write());
+    m_snapshots.save_installed(m_log, out);
+}
+
+auto replica::finish_installation(time_point now, effects& out) -> void
+{
+    if (m_is_leader)
+        return;
+    if (m_leader != no_node)
+        return respond(m_leader,
+                       append_reply{term(), true, m_log.first_index() - 1,
+                                    time_point::min()},
+                       out);
+    m_election.postpone(now);
+    if (!is_only_voter(members(), m_identity))
+        return;
+    m_election.expire(now);
+    begin_probe(now, out);
 }
 
 auto replica::is_leader() const -> bool
@@ -129,19 +438,19 @@
     return m_is_leader;
 }
 
-auto replica::has_quorum(time_point) const -> bool
+auto replica::has_quorum(time_point now) const -> bool
 {
-    return m_is_leader;
+    return m_is_leader && m_commit >= m_term_start && is_in_touch(now);
 }
 
 auto replica::leader() const -> node_id
 {
-    return m_is_leader ? m_identity : no_node;
+    return m_leader;
 }
 
 auto replica::term() const -> term_number
 {
-    return m_hard.m_term;
+    return m_log.hard().m_term;
 }
 
 auto replica::identity() const -> node_id
@@ -151,7 +460,7 @@
 
 auto replica::cluster() const -> std::uint64_t
 {
-    return m_cluster;
+    return m_log.latest_snapshot()->m_cluster;
 }
 
 auto replica::commit_index() const -> log_index
@@ -161,23 +470,39 @@
 
 auto replica::last_index() const -> log_index
 {
-    return m_first + m_log.size() - 1;
+    return m_log.last_index();
 }
 
 auto replica::members() const -> std::span<member const>
 {
-    return m_members;
+    return m_log.members();
 }
 
 auto replica::next_deadline() const -> time_point
 {
-    return never;
+    if (!m_is_leader)
+        return may_campaign() ? m_election.deadline() : never;
+    auto const heard = m_replication.quorum_heard_at(members(), m_identity);
+    auto const limit =
+        heard == never ? never : heard + m_settings.m_quorum_timeout;
+    return std::min(limit, m_replication.deadline());
+}
+
+auto replica::may_campaign() const -> bool
+{
+    return !m_is_leader && cluster() != 0 && is_voter(members(), m_identity);
+}
+
+auto replica::is_up_to_date(vote_request const& request) const -> bool
+{
+    return std::pair{request.m_last_term, request.m_last_index} >=
+           std::pair{m_log.last_term(), m_log.last_index()};
 }
 
-auto replica::is_member() const -> bool
+auto replica::is_in_touch(time_point now) const -> bool
 {
-    return std::ranges::find(m_members, m_identity, &member::m_node) !=
-           m_members.end();
+    return now - m_replication.quorum_heard_at(members(), m_identity) <
+           m_settings.m_quorum_timeout;
 }
 
 } // namespace hickorylatch::core
--- a/src/core/replica.hpp
+++ b/src/core/replica.hpp
@@ -3,19 +3,25 @@
 
 #include "core/command.hpp"
 #include "core/effect.hpp"
+#include "core/election.hpp"
 #include "core/message.hpp"
+#include "core/replica_log.hpp"
+#include "core/replication.hpp"
+#include "core/snapshot_store.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorylatch::core
 {
 
-/// Time limits of the replicated log.
+/// Limits of the replicated log.
 struct replica_settings
 {
     duration m_heartbeat = std::chrono::milliseconds{150};
@@ -23,20 +29,16 @@
     duration m_election_maximum = std::chrono::milliseconds{1500};
     /// A leader that has not heard from a quorum for this long stops leading.
     duration m_quorum_timeout = std::chrono::milliseconds{600};
-};
-
-/// What the data folder holds at start.
-struct recovered_state
-{
-    node_id m_identity = no_node;
-    hard_state m_hard_state;
-    /// Last snapshot; index 0 if there is none.
-    snapshot m_snapshot;
-    std::vector<log_entry> m_entries;
+    /// Bytes of snapshot data in one message.
+    std::size_t m_snapshot_part = std::size_t{1} << 18U;
+    /// Entries that a learner may lack when it is made a voter. Under load the
+    /// last entries are always on their way to it.
+    log_index m_promotion_lag = 1'000;
 };
 
 /// One replica of the replicated log: terms, votes, commits and membership.
-/// Knows nothing of what the commands mean.
+/// Knows nothing of what the commands mean. `start`, `tick`, `receive` and
+/// `synced` end with a `flush`; after any other change the caller flushes.
 class replica
 {
 public:
@@ -49,54 +51,110 @@
     auto synced(time_point now, std::uint64_t write, effects& out) -> void;
 
     /// Appends a command if this replica leads; returns its index. Commands
-    /// proposed between two calls of `flush` share one write.
+    /// proposed between two calls of `flush` share one write. A change of the
+    /// membership that `check_members` refuses is not appended.
     auto propose(command proposed) -> std::optional<log_index>;
+    /// Why this replica would refuse a change to these members now; empty if
+    /// it would not.
+    [[nodiscard]] auto check_members(std::span<member const> wanted) const
+        -> std::string_view;
     /// Writes and replicates what was proposed. Called after each event.
     auto flush(time_point now, effects& out) -> void;
 
-    /// Takes the entries committed since the last call, in order.
-    [[nodiscard]] auto take_committed() -> std::vector<log_entry>;
     /// A snapshot received from the leader that replaces the state, if any.
+    /// To be taken before the committed entries, which follow it.
     [[nodiscard]] auto take_installed() -> std::optional<snapshot>;
+    /// Takes the entries committed since the last call, in order.
+    [[nodiscard]] auto take_committed() -> std::vector<log_entry>;
     /// Hands over the state up to an applied index; older entries are dropped
-    /// once it is saved.
+    /// once it is saved. Does nothing while a received snapshot is being saved.
     auto compact(log_index upto, std::string data, effects& out) -> void;
     auto snapshot_saved(log_index last) -> void;
 
-    /// Makes this blank replica the first member of a new group.
+    /// Makes this blank replica a first member of a new group, which exists
+    /// once its snapshot is saved. Does nothing if the replica has a group or
+    /// is not one of the members. The others are told again with each election.
     auto found(std::uint64_t cluster, std::vector<member> members, effects& out)
         -> void;
 
     [[nodiscard]] auto is_leader() const -> bool;
-    /// True if this replica leads and heard from a quorum lately.
+    /// True if this replica leads, has committed the first entry of its term
+    /// and heard from a quorum lately.
     [[nodiscard]] auto has_quorum(time_point now) const -> bool;
+    /// The leader of the present term; `no_node` if not known.
     [[nodiscard]] auto leader() const -> node_id;
     [[nodiscard]] auto term() const -> term_number;
     [[nodiscard]] auto identity() const -> node_id;
+    /// Identity of the group; 0 for a blank replica.
     [[nodiscard]] auto cluster() const -> std::uint64_t;
     [[nodiscard]] auto commit_index() const -> log_index;
     [[nodiscard]] auto last_index() const -> log_index;
+    /// The membership by the last entry, committed or not.
     [[nodiscard]] auto members() const -> std::span<member const>;
     [[nodiscard]] auto next_deadline() const -> time_point;
 
 private:
-    [[nodiscard]] auto is_member() const -> bool;
+    /// A message held back until a write is synced.
+    struct held_message
+    {
+        std::uint64_t m_write = 0;
+        node_id m_to = no_node;
+        message m_message;
+    };
+
+    auto handle(time_point now, node_id from, vote_request const& request,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, vote_reply const& reply,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, append_request const& request,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, append_reply const& reply,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, install_snapshot const& part,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, install_reply const& reply,
+                effects& out) -> void;
+    auto handle(time_point now, node_id from, found_group const& founding,
+                effects& out) -> void;
+
+    auto send_after(std::uint64_t write, node_id to, message content,
+                    effects& out) -> void;
+    /// Sends once the present term and vote are synced.
+    auto respond(node_id to, message content, effects& out) -> void;
+    auto send_to_voters(message const& content, effects& out) -> void;
+
+    auto begin_probe(time_point now, effects& out) -> void;
+    auto begin_vote(time_point now, effects& out) -> void;
+    auto count_vote(time_point now, node_id voter, effects& out) -> void;
+    auto lead(time_point now) -> void;
+    auto step_down(time_point now) -> void;
+    auto check_quorum(time_point now) -> void;
+    auto adopt_term(time_point now, term_number term) -> void;
+    auto follow(time_point now, node_id leader, term_number term) -> void;
+    auto advance_commit(time_point now) -> void;
+
+    auto install(snapshot received, effects& out) -> void;
+    auto finish_installation(time_point now, effects& out) -> void;
+
+    [[nodiscard]] auto may_campaign() const -> bool;
+    [[nodiscard]] auto is_up_to_date(vote_request const& request) const -> bool;
+    [[nodiscard]] auto is_in_touch(time_point now) const -> bool;
 
     replica_settings m_settings;
     node_id m_identity;
-    hard_state m_hard;
-    std::uint64_t m_cluster = 0;
-    std::vector<member> m_members;
-    std::deque<log_entry> m_log;
-    log_index m_first = 1;
-    term_number m_snapshot_term = 0;
-    log_index m_commit = 0;
-    log_index m_delivered = 0;
-    log_index m_written = 0;
-    log_index m_synced = 0;
-    std::uint64_t m_writes = 0;
-    std::deque<std::pair<std::uint64_t, log_index>> m_outstanding;
+    replica_log m_log;
+    election m_election;
+    replication m_replication;
+    snapshot_store m_snapshots;
+    std::vector<held_message> m_held;
+    bool m_has_installed = false;
+    std::optional<snapshot> m_installed;
+    log_index m_commit;
+    log_index m_delivered;
+    /// Index of the first entry of the term that this replica leads.
+    log_index m_term_start = 0;
     bool m_is_leader = false;
+    node_id m_leader = no_node;
 };
 
 } // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/replica_log.cpp
@@ -0,0 +1,230 @@
+#include "core/replica_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorylatch::core
+{
+
+replica_log::replica_log(recovered_state recovered)
+    : m_hard{recovered.m_hard_state},
+      m_snapshot{
+          std::make_shared<snapshot const>(std::move(recovered.m_snapshot))},
+      m_memberships{{m_snapshot->m_last_index, m_snapshot->m_members}}
+{
+    for (auto& entry : recovered.m_entries)
+        if (entry.m_index == last_index() + 1)
+            append(std::move(entry));
+    m_written = m_synced = last_index();
+}
+
+auto replica_log::hard() const -> hard_state const&
+{
+    return m_hard;
+}
+
+auto replica_log::set_hard(hard_state wanted) -> void
+{
+    if (wanted == m_hard)
+        return;
+    m_hard = wanted;
+    m_hard_changed = true;
+    m_hard_write = m_writes + 1;
+}
+
+auto replica_log::first_index() const -> log_index
+{
+    return m_snapshot->m_last_index + 1;
+}
+
+auto replica_log::last_index() const -> log_index
+{
+    return m_snapshot->m_last_index + m_entries.size();
+}
+
+auto replica_log::last_term() const -> term_number
+{
+    return m_entries.empty() ? m_snapshot->m_last_term
+                             : m_entries.back().m_term;
+}
+
+auto replica_log::term_at(log_index index) const -> std::optional<term_number>
+{
+    if (index == m_snapshot->m_last_index)
+        return m_snapshot->m_last_term;
+    if (index < first_index() || index > last_index())
+        return std::nullopt;
+    return at(index).m_term;
+}
+
+auto replica_log::at(log_index index) const -> log_entry const&
+{
+    return m_entries[index - first_index()];
+}
+
+auto replica_log::append(log_entry entry) -> void
+{
+    note_membership(entry);
+    m_entries.push_back(std::move(entry));
+}
+
+auto replica_log::truncate(log_index from) -> void
+{
+    while (last_index() >= from && !m_entries.empty())
+        m_entries.pop_back();
+    while (m_memberships.size() > 1 && m_memberships.back().first >= from)
+        m_memberships.pop_back();
+    if (from <= m_written)
+    {
+        m_truncate_from =
+            m_truncate_from == 0 ? from : std::min(m_truncate_from, from);
+        m_written = from - 1;
+    }
+    m_synced = std::min(m_synced, from - 1);
+    // A sync of removed entries must not count for those that replace them.
+    for (auto& [write, index] : m_outstanding)
+        index = std::min(index, from - 1);
+}
+
+auto replica_log::retry_after(log_index index, term_number term,
+                              log_index commit) const
+    -> std::optional<log_index>
+{
+    auto const held = term_at(index);
+    // What the snapshot covers is committed and therefore matches.
+    if (index + 1 < first_index() || held == term)
+        return std::nullopt;
+    // After the last entry, or before those of the conflicting term.
+    auto hint = std::min(index - 1, last_index());
+    while (held && hint > commit && term_at(hint) == held)
+        --hint;
+    return std::max(hint, commit);
+}
+
+auto replica_log::merge(std::span<log_entry const> entries) -> bool
+{
+    auto is_changed = false;
+    for (auto const& entry : entries)
+    {
+        auto const held = term_at(entry.m_index);
+        if (entry.m_index < first_index() || held == entry.m_term)
+            continue;
+        if (held)
+            truncate(entry.m_index);
+        if (entry.m_index != last_index() + 1)
+            break;
+        append(entry);
+        is_changed = true;
+    }
+    return is_changed;
+}
+
+auto replica_log::members() const -> std::span<member const>
+{
+    return m_memberships.back().second;
+}
+
+auto replica_log::membership_index() const -> log_index
+{
+    return m_memberships.back().first;
+}
+
+auto replica_log::latest_snapshot() const
+    -> std::shared_ptr<snapshot const> const&
+{
+    return m_snapshot;
+}
+
+auto replica_log::describe(log_index upto, std::string data) const -> snapshot
+{
+    auto described = snapshot{};
+    described.m_last_index = upto;
+    described.m_last_term = term_at(upto).value_or(0);
+    for (auto const& [index, members] : m_memberships)
+        if (index <= upto)
+            described.m_members = members;
+    described.m_cluster = m_snapshot->m_cluster;
+    described.m_data = std::move(data);
+    return described;
+}
+
+auto replica_log::take_over(std::shared_ptr<snapshot const> saved) -> void
+{
+    auto const last = saved->m_last_index;
+    auto const is_held = term_at(last) == saved->m_last_term;
+    while (!m_entries.empty() &&
+           (!is_held || m_entries.front().m_index <= last))
+        m_entries.pop_front();
+    if (!is_held)
+        m_memberships.clear();
+    std::erase_if(m_memberships,
+                  [&](membership const& each)
+                  {
+                      return each.first <= last;
+                  });
+    m_memberships.insert(m_memberships.begin(), {last, saved->m_members});
+    m_snapshot = std::move(saved);
+    m_written = std::max(m_written, last);
+    m_synced = std::max(m_synced, last);
+}
+
+auto replica_log::take_write() -> std::optional<append_log>
+{
+    if (!is_changed())
+        return std::nullopt;
+    auto write = append_log{};
+    write.m_write = ++m_writes;
+    if (m_hard_changed)
+        write.m_hard_state = m_hard;
+    write.m_truncate_from = m_truncate_from;
+    for (auto index = m_written + 1; index <= last_index(); ++index)
+        write.m_entries.push_back(at(index));
+    m_hard_changed = false;
+    m_truncate_from = 0;
+    m_written = last_index();
+    m_outstanding.emplace_back(m_writes, m_written);
+    return write;
+}
+
+auto replica_log::synced(std::uint64_t write) -> void
+{
+    m_synced_writes = std::max(m_synced_writes, write);
+    while (!m_outstanding.empty() && m_outstanding.front().first <= write)
+    {
+        m_synced = std::max(m_synced, m_outstanding.front().second);
+        m_outstanding.pop_front();
+    }
+}
+
+auto replica_log::is_synced(std::uint64_t write) const -> bool
+{
+    return write <= m_synced_writes;
+}
+
+auto replica_log::synced_index() const -> log_index
+{
+    return m_synced;
+}
+
+auto replica_log::last_write() const -> std::uint64_t
+{
+    return m_writes + (is_changed() ? 1 : 0);
+}
+
+auto replica_log::hard_write() const -> std::uint64_t
+{
+    return m_hard_write;
+}
+
+auto replica_log::is_changed() const -> bool
+{
+    return m_hard_changed || m_truncate_from != 0 || m_written < last_index();
+}
+
+auto replica_log::note_membership(log_entry const& entry) -> void
+{
+    if (auto const* change = std::get_if<change_membership>(&entry.m_command))
+        m_memberships.emplace_back(entry.m_index, change->m_members);
+}
+
+} // namespace hickorylatch::core
