--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -1,6 +1,7 @@
 #include "net/peer_links.hpp"
 
 #include "net/error.hpp"
+#include "net/tls_context.hpp"
 #include "wire/codec.hpp"
 
 #include <event2/bufferevent.h>
@@ -231,9 +232,11 @@
 auto peer_links::add_link(int socket, std::string remote, bool is_outgoing)
     -> link_state&
 {
-    auto connection = bufferevent_handle{bufferevent_socket_new(
-        m_loop.base(), socket,
-        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)};
+    constexpr auto options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
+    auto connection = m_settings.m_tls
+                          ? m_settings.m_tls->open(m_loop, socket)
+                          : bufferevent_handle{bufferevent_socket_new(
+                                m_loop.base(), socket, options)};
     if (!connection)
         throw std::bad_alloc{};
     auto const id = ++m_last_id;
--- /dev/null
+++ b/src/net/tls_context.hpp
@@ -0,0 +1,56 @@
+#ifndef HICKORYLATCH_NET_TLS_CONTEXT_HPP
+#define HICKORYLATCH_NET_TLS_CONTEXT_HPP
+
+#include "net/event_loop.hpp"
+#include "net/peer_link.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <openssl/types.h>
+
+#include <memory>
+#include <string>
+
+namespace hickorylatch::net
+{
+
+/// PEM files for links between processes.
+struct tls_files
+{
+    /// Own certificate, followed by any intermediate ones.
+    std::string m_certificate;
+    std::string m_key;
+    /// Certificates of the authorities that may sign a peer's certificate.
+    std::string m_authority;
+};
+
+/// Encrypts links and verifies the peer's certificate on both sides. Any
+/// certificate that the authority signed is accepted, whatever its name: the
+/// authority should sign for processes of this system only.
+class tls_context
+{
+public:
+    /// Errors: `net::error` with the file that can't be used.
+    [[nodiscard]] static auto load(tls_files const& files)
+        -> boost::leaf::result<std::shared_ptr<tls_context const>>;
+
+    /// A connection over an accepted socket, or over a new one if the socket is
+    /// -1. Deferred callbacks; null if out of memory.
+    [[nodiscard]] auto open(event_loop& loop, int socket) const
+        -> bufferevent_handle;
+
+private:
+    struct context_deleter
+    {
+        auto operator()(SSL_CTX* handle) const noexcept -> void;
+    };
+    using context_handle = std::unique_ptr<SSL_CTX, context_deleter>;
+
+    explicit tls_context(context_handle context);
+
+    context_handle m_context;
+};
+
+} // namespace hickorylatch::net
+
+#endif
