--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -58,7 +58,7 @@
 {
     /// "ip:port" where other processes connect. Required.
     std::string m_listen_address;
-    /// "ip:port" of metrics and health. Required.
+    /// "ip:port" of metrics, health and the founding of the group. Required.
     std::string m_operators_address;
     /// Folder of log, snapshots and identity. Required.
     std::string m_data_folder;
--- a/src/settings/settings_field.cpp
+++ b/src/settings/settings_field.cpp
@@ -180,7 +180,7 @@
      required,
      "",
      "",
-     "Where metrics and health are served",
+     "Where metrics, health and the founding of the group are served",
      {}},
     {"control.data_folder",
      file,
