--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -92,12 +92,12 @@
     -> boost::leaf::result<opened_folder>
 {
     BOOST_LEAF_CHECK(create_folder(path, options));
-    auto folder = data_folder{path, std::move(options)};
+    auto folder = data_folder{std::move(path), std::move(options)};
     BOOST_LEAF_ASSIGN(folder.m_lock,
-                      file::open(path / "lock", O_RDWR | O_CREAT));
+                      file::open(folder.m_path / "lock", O_RDWR | O_CREAT));
     BOOST_LEAF_CHECK(folder.m_lock.lock());
-    BOOST_LEAF_CHECK(remove_temporary(path));
-    BOOST_LEAF_AUTO(contents, read_folder(path));
+    BOOST_LEAF_CHECK(remove_temporary(folder.m_path));
+    BOOST_LEAF_AUTO(contents, read_folder(folder.m_path));
     if (contents.m_state.m_identity == core::no_node)
     {
         BOOST_LEAF_CHECK(folder.create());
--- a/src/storage/envelope.cpp
+++ b/src/storage/envelope.cpp
@@ -1,9 +1,8 @@
 #include "storage/envelope.hpp"
 
-#include "wire/codec.hpp"
+#include "storage/storage_error.hpp"
 
 #include <boost/endian/conversion.hpp>
-#include <boost/leaf/error.hpp>
 
 #include <zlib.h>
 
@@ -89,25 +88,23 @@
     return sealed;
 }
 
-auto open_envelope(std::string_view magic, std::string_view bytes)
-    -> boost::leaf::result<envelope>
+auto open_envelope(std::filesystem::path const& file, std::string_view magic,
+                   std::string_view bytes) -> boost::leaf::result<envelope>
 {
-    using wire::decode_error;
     if (bytes.size() < envelope_header_size)
-        return boost::leaf::new_error(decode_error{"file too short"});
+        return fail(file, 0, "file too short");
     if (!bytes.starts_with(magic))
-        return boost::leaf::new_error(decode_error{"not a file of this kind"});
+        return fail(file, 0, "not a file of this kind");
     auto const version = u32_at(bytes, 8);
     if (version != format_version)
-        return boost::leaf::new_error(
-            decode_error{"unknown format version " + std::to_string(version)});
+        return fail(file, 8,
+                    "unknown format version " + std::to_string(version));
     auto const length = u64_at(bytes, 12);
     if (length > bytes.size() - envelope_header_size)
-        return boost::leaf::new_error(
-            decode_error{"declared length is beyond the end of the file"});
+        return fail(file, 12, "declared length is beyond the end of the file");
     auto const payload = bytes.substr(envelope_header_size, length);
     if (checksum_of(payload) != u32_at(bytes, 20))
-        return boost::leaf::new_error(decode_error{"checksum mismatch"});
+        return fail(file, envelope_header_size, "checksum mismatch");
     return envelope{payload, envelope_header_size + payload.size()};
 }
 
--- a/src/storage/envelope.hpp
+++ b/src/storage/envelope.hpp
@@ -4,6 +4,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <cstdint>
+#include <filesystem>
 #include <string>
 #include <string_view>
 
@@ -53,9 +54,10 @@
 [[nodiscard]] auto seal_envelope(std::string_view magic,
                                  std::string_view payload) -> std::string;
 
-/// Reads the envelope at the start of the bytes; more may follow it. Fails
-/// with `wire::decode_error`.
-[[nodiscard]] auto open_envelope(std::string_view magic, std::string_view bytes)
+/// Reads the envelope at the start of a file's bytes; more may follow it.
+/// Fails with `storage_error`.
+[[nodiscard]] auto open_envelope(std::filesystem::path const& file,
+                                 std::string_view magic, std::string_view bytes)
     -> boost::leaf::result<envelope>;
 
 } // namespace hickorylatch::storage
--- a/src/storage/inspect.cpp
+++ b/src/storage/inspect.cpp
@@ -57,7 +57,7 @@
 
 } // namespace
 
-auto inspect(std::filesystem::path folder, std::ostream& out)
+auto inspect(std::filesystem::path const& folder, std::ostream& out)
     -> boost::leaf::result<void>
 {
     auto code = std::error_code{};
--- a/src/storage/inspect.hpp
+++ b/src/storage/inspect.hpp
@@ -13,8 +13,8 @@
 /// of key=value pairs. Changes nothing and takes no lock, so the folder of a
 /// running process may be caught in the middle of a write. Fails with
 /// `storage_error`.
-[[nodiscard]] auto inspect(std::filesystem::path folder, std::ostream& out)
-    -> boost::leaf::result<void>;
+[[nodiscard]] auto inspect(std::filesystem::path const& folder,
+                           std::ostream& out) -> boost::leaf::result<void>;
 
 } // namespace hickorylatch::storage
 
--- a/src/storage/log_record.cpp
+++ b/src/storage/log_record.cpp
@@ -1,13 +1,12 @@
 #include "storage/log_record.hpp"
 
+#include "storage/decode.hpp"
 #include "storage/envelope.hpp"
+#include "storage/storage_error.hpp"
 
-#include "wire/codec.hpp"
 #include "wire/described_codec.hpp"
 
-#include <boost/leaf/error.hpp>
-
-#include <exception>
+#include <utility>
 
 namespace hickorylatch::storage
 {
@@ -17,19 +16,6 @@
 
 constexpr auto record_marker = std::string_view{"HLR\x01"};
 
-template <typename T>
-[[nodiscard]] auto decode(std::string_view bytes) -> boost::leaf::result<T>
-{
-    try
-    {
-        return wire::described::from_bytes<T>(bytes);
-    }
-    catch (std::exception const& error)
-    {
-        return boost::leaf::new_error(wire::decode_error{error.what()});
-    }
-}
-
 [[nodiscard]] auto checksum_of(record_place place, std::string_view payload)
     -> std::uint32_t
 {
@@ -49,11 +35,13 @@
     return seal_envelope(segment_magic, wire::described::to_bytes(header));
 }
 
-auto decode_segment_header(std::string_view bytes)
+auto decode_segment_header(std::filesystem::path const& file,
+                           std::string_view bytes)
     -> boost::leaf::result<sized_segment_header>
 {
-    BOOST_LEAF_AUTO(opened, open_envelope(segment_magic, bytes));
-    BOOST_LEAF_AUTO(header, decode<segment_header>(opened.m_payload));
+    BOOST_LEAF_AUTO(opened, open_envelope(file, segment_magic, bytes));
+    BOOST_LEAF_AUTO(header, decode<segment_header>(file, envelope_header_size,
+                                                   opened.m_payload));
     return sized_segment_header{header, opened.m_size};
 }
 
@@ -87,22 +75,21 @@
     return payload;
 }
 
-auto decode_record_payload(std::string_view payload)
+auto decode_record_payload(std::filesystem::path const& file,
+                           std::uint64_t offset, std::string_view payload)
     -> boost::leaf::result<std::vector<core::append_log>>
 {
     auto writes = std::vector<core::append_log>{};
     while (!payload.empty())
     {
         if (payload.size() < 4)
-            return boost::leaf::new_error(
-                wire::decode_error{"record ends within a length"});
+            return fail(file, offset, "record ends within a length");
         auto const length = std::size_t{u32_at(payload, 0)};
         payload.remove_prefix(4);
         if (length > payload.size())
-            return boost::leaf::new_error(
-                wire::decode_error{"record ends within a write"});
-        BOOST_LEAF_AUTO(write,
-                        decode<core::append_log>(payload.substr(0, length)));
+            return fail(file, offset, "record ends within a write");
+        BOOST_LEAF_AUTO(write, decode<core::append_log>(
+                                   file, offset, payload.substr(0, length)));
         writes.push_back(std::move(write));
         payload.remove_prefix(length);
     }
--- a/src/storage/log_record.hpp
+++ b/src/storage/log_record.hpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <cstdint>
+#include <filesystem>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,9 +57,10 @@
 
 [[nodiscard]] auto encode_segment_header(segment_header const& header)
     -> std::string;
-/// Reads the header at the start of the bytes. Fails with
-/// `wire::decode_error`.
-[[nodiscard]] auto decode_segment_header(std::string_view bytes)
+/// Reads the header at the start of a file's bytes. Fails with
+/// `storage_error`.
+[[nodiscard]] auto decode_segment_header(std::filesystem::path const& file,
+                                         std::string_view bytes)
     -> boost::leaf::result<sized_segment_header>;
 
 /// Largest payload of a record in bytes.
@@ -77,8 +79,11 @@
 [[nodiscard]] auto record_payload(record_place place, std::string_view bytes)
     -> std::optional<std::string_view>;
 
-/// Fails with `wire::decode_error`.
-[[nodiscard]] auto decode_record_payload(std::string_view payload)
+/// Payload of the record at this offset of a file. Fails with
+/// `storage_error`.
+[[nodiscard]] auto decode_record_payload(std::filesystem::path const& file,
+                                         std::uint64_t offset,
+                                         std::string_view payload)
     -> boost::leaf::result<std::vector<core::append_log>>;
 
 /// Offset of the first valid record at or behind the given offset of a
--- a/src/storage/log_replay.cpp
+++ b/src/storage/log_replay.cpp
@@ -18,11 +18,7 @@
                              std::string_view bytes, bool is_last)
     -> boost::leaf::result<void>
 {
-    BOOST_LEAF_AUTO(found, locate(path, 0,
-                                  [&]
-                                  {
-                                      return decode_segment_header(bytes);
-                                  }));
+    BOOST_LEAF_AUTO(found, decode_segment_header(path, bytes));
     BOOST_LEAF_CHECK(add_header(path, found.m_header));
     auto offset = found.m_size;
     while (offset < bytes.size())
@@ -43,12 +39,7 @@
             m_torn = torn_tail{path, offset, bytes.size() - offset};
             break;
         }
-        BOOST_LEAF_AUTO(writes,
-                        locate(path, offset,
-                               [&]
-                               {
-                                   return decode_record_payload(*payload);
-                               }));
+        BOOST_LEAF_AUTO(writes, decode_record_payload(path, offset, *payload));
         for (auto& write : writes)
             BOOST_LEAF_CHECK(add_write(path, offset, std::move(write)));
         offset += record_header_size + payload->size();
--- a/src/storage/recovery.cpp
+++ b/src/storage/recovery.cpp
@@ -6,6 +6,8 @@
 #include "storage/snapshot_file.hpp"
 #include "storage/storage_error.hpp"
 
+#include <boost/leaf/handle_errors.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -64,12 +66,7 @@
 {
     auto const path = identity_path(folder);
     BOOST_LEAF_AUTO(bytes, read_file(path));
-    BOOST_LEAF_AUTO(opened, locate(path, 0,
-                                   [&]
-                                   {
-                                       return open_envelope(identity_magic,
-                                                            bytes);
-                                   }));
+    BOOST_LEAF_AUTO(opened, open_envelope(path, identity_magic, bytes));
     if (opened.m_payload.size() != sizeof(std::uint64_t))
         return fail(path, 0, "wrong size of an identity");
     return core::node_id{u64_at(opened.m_payload, 0)};
@@ -128,11 +125,7 @@
                         "the segment before it, number " +
                             std::to_string(number - 1) + ", is missing");
         BOOST_LEAF_AUTO(bytes, read_file(path, maximum_segment_header));
-        BOOST_LEAF_AUTO(found, locate(path, 0,
-                                      [&]
-                                      {
-                                          return decode_segment_header(bytes);
-                                      }));
+        BOOST_LEAF_AUTO(found, decode_segment_header(path, bytes));
         if (found.m_header.m_sequence != number)
             return fail(path, 0,
                         "the segment is number " +
@@ -154,11 +147,7 @@
         return false;
     auto const path = segment_path(folder, numbers.front());
     BOOST_LEAF_AUTO(bytes, read_file(path, maximum_segment_header));
-    BOOST_LEAF_AUTO(found, locate(path, 0,
-                                  [&]
-                                  {
-                                      return decode_segment_header(bytes);
-                                  }));
+    BOOST_LEAF_AUTO(found, decode_segment_header(path, bytes));
     return found.m_size == bytes.size() && found.m_header.m_sequence == 1;
 }
 
--- a/src/storage/snapshot_file.cpp
+++ b/src/storage/snapshot_file.cpp
@@ -1,5 +1,6 @@
 #include "storage/snapshot_file.hpp"
 
+#include "storage/decode.hpp"
 #include "storage/envelope.hpp"
 #include "storage/file.hpp"
 #include "storage/storage_error.hpp"
@@ -20,31 +21,27 @@
     return seal_envelope(snapshot_magic, payload);
 }
 
-auto decode_snapshot_file(core::node_id identity, std::string_view bytes)
+auto decode_snapshot_file(std::filesystem::path const& file,
+                          core::node_id identity, std::string_view bytes)
     -> boost::leaf::result<core::snapshot>
 {
-    using wire::decode_error;
-    BOOST_LEAF_AUTO(opened, open_envelope(snapshot_magic, bytes));
+    BOOST_LEAF_AUTO(opened, open_envelope(file, snapshot_magic, bytes));
     if (opened.m_size != bytes.size())
-        return boost::leaf::new_error(decode_error{"bytes behind the end"});
+        return fail(file, opened.m_size, "bytes behind the end");
     if (opened.m_payload.size() < sizeof(std::uint64_t))
-        return boost::leaf::new_error(decode_error{"file too short"});
+        return fail(file, envelope_header_size, "file too short");
     if (core::node_id{u64_at(opened.m_payload, 0)} != identity)
-        return boost::leaf::new_error(
-            decode_error{"the snapshot belongs to another identity"});
-    return wire::decode_snapshot(
-        opened.m_payload.substr(sizeof(std::uint64_t)));
+        return fail(file, envelope_header_size,
+                    "the snapshot belongs to another identity");
+    auto const offset = envelope_header_size + sizeof(std::uint64_t);
+    return decode<core::snapshot>(file, offset, bytes.substr(offset));
 }
 
 auto read_snapshot(std::filesystem::path const& path, core::node_id identity)
     -> boost::leaf::result<core::snapshot>
 {
     BOOST_LEAF_AUTO(bytes, read_file(path));
-    return locate(path, 0,
-                  [&]
-                  {
-                      return decode_snapshot_file(identity, bytes);
-                  });
+    return decode_snapshot_file(path, identity, bytes);
 }
 
 } // namespace hickorylatch::storage
--- a/src/storage/snapshot_file.hpp
+++ b/src/storage/snapshot_file.hpp
@@ -18,8 +18,9 @@
                                         core::snapshot const& value)
     -> std::string;
 
-/// Fails with `wire::decode_error`.
-[[nodiscard]] auto decode_snapshot_file(core::node_id identity,
+/// Fails with `storage_error`.
+[[nodiscard]] auto decode_snapshot_file(std::filesystem::path const& file,
+                                        core::node_id identity,
                                         std::string_view bytes)
     -> boost::leaf::result<core::snapshot>;
 
--- a/src/storage/storage_error.hpp
+++ b/src/storage/storage_error.hpp
@@ -1,16 +1,11 @@
 #ifndef HICKORYLATCH_STORAGE_STORAGE_ERROR_HPP
 #define HICKORYLATCH_STORAGE_STORAGE_ERROR_HPP
 
-#include "wire/codec.hpp"
-
 #include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include <cstdint>
 #include <filesystem>
 #include <string>
-#include <type_traits>
-#include <utility>
 
 namespace hickorylatch::storage
 {
@@ -35,21 +30,6 @@
                                    std::string const& operation)
     -> boost::leaf::error_id;
 
-/// Runs a decoder and turns its `wire::decode_error` into a `storage_error`
-/// that names the place.
-template <typename Decode>
-[[nodiscard]] auto locate(std::filesystem::path const& file,
-                          std::uint64_t offset, Decode&& decode)
-    -> std::invoke_result_t<Decode>
-{
-    return boost::leaf::try_handle_some(
-        std::forward<Decode>(decode),
-        [&](wire::decode_error const& error) -> std::invoke_result_t<Decode>
-        {
-            return fail(file, offset, error.m_reason);
-        });
-}
-
 } // namespace hickorylatch::storage
 
 #endif
