--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -133,7 +133,10 @@
         m_active, file::open(segment_path(m_path, m_segments.back().m_sequence),
                              O_WRONLY));
     if (contents.m_torn_tail)
+    {
         BOOST_LEAF_CHECK(m_active.truncate(m_active_size));
+        BOOST_LEAF_CHECK(preallocate());
+    }
     // What was read may still be only in the page cache; it is acted upon from
     // now on.
     BOOST_LEAF_CHECK(m_active.sync_all(m_options));
@@ -252,6 +255,7 @@
     auto const path = segment_path(m_path, sequence);
     BOOST_LEAF_CHECK(create_file(path, header, m_options));
     BOOST_LEAF_ASSIGN(m_active, file::open(path, O_WRONLY));
+    BOOST_LEAF_CHECK(preallocate());
     m_active_size = header.size();
     m_segments.push_back({sequence, base.m_index});
     if (restarts)
@@ -259,6 +263,13 @@
     return {};
 }
 
+auto data_folder::preallocate() -> boost::leaf::result<void>
+{
+    if (!m_options.m_preallocate)
+        return {};
+    return m_active.preallocate(m_options.m_segment_bytes);
+}
+
 auto data_folder::drop_covered() -> boost::leaf::result<void>
 {
     while (m_snapshots.size() > kept_snapshots)
--- a/src/storage/data_folder.hpp
+++ b/src/storage/data_folder.hpp
@@ -66,6 +66,7 @@
         -> boost::leaf::result<void>;
     [[nodiscard]] auto add_segment(log_position base, bool restarts)
         -> boost::leaf::result<void>;
+    [[nodiscard]] auto preallocate() -> boost::leaf::result<void>;
     [[nodiscard]] auto drop_covered() -> boost::leaf::result<void>;
     [[nodiscard]] auto remove(std::filesystem::path const& path)
         -> boost::leaf::result<void>;
--- a/src/storage/file.cpp
+++ b/src/storage/file.cpp
@@ -70,6 +70,15 @@
     return {};
 }
 
+auto file::preallocate(std::uint64_t size) -> boost::leaf::result<void>
+{
+    if (::fallocate(m_descriptor, 0, 0, static_cast<off_t>(size)) == 0)
+        return {};
+    if (errno == EOPNOTSUPP)
+        return {};
+    return fail_with_errno(m_path, "reserving space");
+}
+
 auto file::sync_data(storage_options const& options)
     -> boost::leaf::result<void>
 {
--- a/src/storage/file.hpp
+++ b/src/storage/file.hpp
@@ -34,6 +34,10 @@
         -> boost::leaf::result<void>;
     [[nodiscard]] auto truncate(std::uint64_t size)
         -> boost::leaf::result<void>;
+    /// Extends the file with zeros to at least this size, if the file system
+    /// can reserve space.
+    [[nodiscard]] auto preallocate(std::uint64_t size)
+        -> boost::leaf::result<void>;
     /// Makes the contents and the size durable. After a failure the state of
     /// the file is unknown: the kernel may have dropped the pages, so a retry
     /// proves nothing.
--- a/src/storage/log_replay.cpp
+++ b/src/storage/log_replay.cpp
@@ -21,7 +21,9 @@
     BOOST_LEAF_AUTO(found, decode_segment_header(path, bytes));
     BOOST_LEAF_CHECK(add_header(path, found.m_header));
     auto offset = found.m_size;
-    while (offset < bytes.size())
+    // Reserved space behind the records reads as zeros.
+    auto const end = bytes.find_last_not_of('\0') + 1;
+    while (offset < end)
     {
         auto const sequence = found.m_header.m_sequence;
         auto const payload = record_payload({m_identity, sequence, offset},
@@ -36,7 +38,7 @@
                 return fail(path, offset,
                             "damaged record before a valid one at offset " +
                                 std::to_string(*next));
-            m_torn = torn_tail{path, offset, bytes.size() - offset};
+            m_torn = torn_tail{path, offset, end - offset};
             break;
         }
         BOOST_LEAF_AUTO(writes, decode_record_payload(path, offset, *payload));
--- a/src/storage/storage_options.hpp
+++ b/src/storage/storage_options.hpp
@@ -17,6 +17,9 @@
     std::chrono::microseconds m_sync_delay{0};
     /// A log segment is closed once it holds at least this many bytes.
     std::uint64_t m_segment_bytes = 16U << 20U;
+    /// Reserves the space of a segment when it is created, so that a sync
+    /// seldom has to write the file's metadata.
+    bool m_preallocate = true;
     /// Writes are split into several synced records beyond this many bytes.
     std::uint64_t m_record_bytes = 64U << 20U;
     /// Replaces the system call that syncs a file descriptor; returns 0 or -1
--- a/tests/storage/sample.hpp
+++ b/tests/storage/sample.hpp
@@ -50,6 +50,8 @@
 {
     auto options = storage::storage_options{};
     options.m_fsync = false;
+    // The sizes of the files then show where their records end.
+    options.m_preallocate = false;
     return options;
 }
 
--- a/tests/storage/test_data_folder.cpp
+++ b/tests/storage/test_data_folder.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cerrno>
+#include <fstream>
 #include <sstream>
 
 namespace core = hickorylatch::core;
@@ -167,7 +168,7 @@
     }
     auto const log = storage::segment_path(scratch.path(), 1);
     auto const size = fs::file_size(log);
-    fs::resize_file(log, size + 7);
+    std::ofstream{log, std::ios::app} << "partial";
     auto out = std::ostringstream{};
     BOOST_TEST(!!storage::inspect(scratch.path(), out));
     for (auto const* line :
--- a/tests/storage/test_recovery.cpp
+++ b/tests/storage/test_recovery.cpp
@@ -94,10 +94,38 @@
         replace(log, flipped);
         check_tail_is_cut(scratch.path(), sizes[1]);
     }
-    replace(log, whole.substr(0, sizes[1]));
-    BOOST_TEST(
-        outline(open_folder(scratch.path()).m_value->m_recovered.m_entries) ==
-        synced_outline);
+    for (auto const reserved : {std::size_t{0}, sizes[2]})
+    {
+        replace(log, whole.substr(0, sizes[1]) + std::string(reserved, '\0'));
+        auto const opened = open_folder(scratch.path());
+        BOOST_TEST(outline(opened.m_value->m_recovered.m_entries) ==
+                   synced_outline);
+        BOOST_TEST(opened.m_value->m_warnings.empty());
+    }
+}
+
+// Guards against a torn tail in reserved space that damages later writes.
+BOOST_AUTO_TEST_CASE(writes_continue_behind_a_cut_tail_in_reserved_space)
+{
+    auto const scratch = scratch_folder{};
+    auto options = unsynced();
+    options.m_preallocate = true;
+    options.m_segment_bytes = 8192;
+    auto const log = storage::segment_path(scratch.path(), 1);
+    for (auto index = core::log_index{1}; index < 5; ++index)
+    {
+        auto opened = open_folder(scratch.path(), options);
+        BOOST_REQUIRE_MESSAGE(opened.m_value, opened.m_error);
+        BOOST_TEST(opened.m_value->m_recovered.m_entries.size() == index - 1);
+        BOOST_TEST(opened.m_value->m_warnings.size() == (index > 1 ? 1U : 0U));
+        auto const write = sample_write(index, index, 1);
+        BOOST_TEST(!!opened.m_value->m_folder.apply({&write, 1}));
+        opened.m_value.reset();
+        auto bytes = contents(log);
+        BOOST_TEST(bytes.size() == 8192U);
+        bytes.replace(bytes.find_last_not_of('\0') + 32, 4, "torn");
+        replace(log, bytes);
+    }
 }
 
 // Guards against damage before synced writes that is taken for a torn tail.
