--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -168,7 +168,7 @@
     }
 }
 
-auto dispatcher::wake_at() const -> time_point
+auto dispatcher::wake_at(time_point now) const -> time_point
 {
     auto const expiry = m_ledger->next_expiry().first;
     auto const& agents = std::as_const(*m_ledger).agents();
@@ -176,6 +176,8 @@
     {
         if (at >= expiry)
             break;
+        if (at <= now)
+            continue;
         auto const& agent = *agents.find(node);
         auto const* const service =
             m_ledger->find_service(agent.m_info.m_service);
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -93,8 +93,9 @@
     /// Takes out the queued items that can't meet their deadline any more.
     [[nodiscard]] auto expire(time_point now) -> std::vector<attempt_id>;
     /// When `expire` or `next` may have something to do although nothing else
-    /// happens; `never` if not at all. May be early or past, never late.
-    [[nodiscard]] auto wake_at() const -> time_point;
+    /// happens; `never` if not at all. For use after both found nothing more to
+    /// do at `now`; the time is after `now`.
+    [[nodiscard]] auto wake_at(time_point now) const -> time_point;
 
     [[nodiscard]] auto has_agent(node_id agent) const -> bool;
     [[nodiscard]] auto queued(std::string_view service) const -> std::size_t;
--- /dev/null
+++ b/src/experiment/simulator.hpp
@@ -0,0 +1,42 @@
+#ifndef HICKORYLATCH_EXPERIMENT_SIMULATOR_HPP
+#define HICKORYLATCH_EXPERIMENT_SIMULATOR_HPP
+
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace hickorylatch::experiment
+{
+
+/// Virtual time: runs actions in order of their time, then of their making.
+class simulator
+{
+public:
+    auto at(core::time_point time, std::function<void()> action) -> void;
+    auto after(core::duration delay, std::function<void()> action) -> void;
+    /// Runs until nothing is left before `end`.
+    auto run(core::time_point end) -> void;
+    [[nodiscard]] auto now() const -> core::time_point;
+
+private:
+    struct event
+    {
+        core::time_point m_at{0};
+        std::uint64_t m_serial = 0;
+        std::function<void()> m_action;
+    };
+    struct later
+    {
+        auto operator()(event const& left, event const& right) const -> bool;
+    };
+
+    std::vector<event> m_heap;
+    core::time_point m_now{0};
+    std::uint64_t m_next_serial = 0;
+};
+
+} // namespace hickorylatch::experiment
+
+#endif
--- a/tests/core/test_dispatcher.cpp
+++ b/tests/core/test_dispatcher.cpp
@@ -159,7 +159,7 @@
     }
     item.m_attempt.m_task = 34;
     BOOST_TEST((add(item)->m_reason == reason::deadline));
-    BOOST_TEST(m_dispatcher.wake_at() == m_now + second * 2);
+    BOOST_TEST(m_dispatcher.wake_at(m_now) == m_now + second * 2);
     m_now += second * 2;
     BOOST_TEST(m_dispatcher.expire(m_now).size() == 2);
     BOOST_TEST(m_dispatcher.queued("desk") == 0);
--- a/tests/core/test_dispatcher_agents.cpp
+++ b/tests/core/test_dispatcher_agents.cpp
@@ -68,7 +68,7 @@
     BOOST_TEST(!add(request(4)));
     BOOST_TEST(!add(request(5)));
     BOOST_TEST(next() == -1);
-    BOOST_TEST(m_dispatcher.wake_at() == m_now + second);
+    BOOST_TEST(m_dispatcher.wake_at(m_now) == m_now + second);
     m_now += second;
     BOOST_TEST(next() == 4);
     BOOST_TEST(next() == -1);
