Judge agents and deadlines by learned run times

Cause: with declared run times wrong by ten times at random, every agent's run times looked long against the declared ones, so all were marked as stragglers; and tasks started just before their deadline filled the slots.

An unreliable declaration now counts as the mean; an agent's factor is taken relative to the service's; a waiting task without a reliable declaration leaves the 99th percentile of run times, at most half its budget, before its deadline.

The experiment's ideal leaves out an endpoint that fails or is slow, so that a fault is compared with the capacity that remains.

--- a/src/core/admission_policy.cpp
+++ b/src/core/admission_policy.cpp
@@ -104,19 +104,19 @@
 {
     if (item.m_deadline == never)
         return true;
-    auto needed = duration{0};
-    if (auto const* const service = m_ledger->find_service(item.m_service))
-    {
-        needed = service->m_times.least(item.m_run_time);
-        if (m_ledger->agents().of(item.m_service).m_free.empty())
-        {
-            // One more than those ahead: a slot has to free up first.
-            needed +=
-                time_to_drain(item.m_service,
-                              service->m_queue.size_from(item.m_priority) + 1);
-        }
-    }
-    return item.m_deadline > now && needed <= item.m_deadline - now;
+    if (item.m_deadline <= now)
+        return false;
+    auto const* const service = m_ledger->find_service(item.m_service);
+    if (service == nullptr)
+        return true;
+    auto const budget = item.m_deadline - now;
+    if (!m_ledger->agents().of(item.m_service).m_free.empty())
+        return service->m_times.least(item.m_run_time) <= budget;
+    // One more than those ahead: a slot has to free up first.
+    auto const ahead = service->m_queue.size_from(item.m_priority) + 1;
+    return time_to_drain(item.m_service, ahead) +
+               service->m_times.margin(item.m_run_time, budget) <=
+           budget;
 }
 
 } // namespace hickorylatch::core
--- a/src/core/agent_health.cpp
+++ b/src/core/agent_health.cpp
@@ -37,15 +37,19 @@
                             : rare_trial_delay);
 }
 
-auto agent_health::observe_factor(time_point now, double factor) -> void
+auto agent_health::limited(double factor) -> double
 {
-    // Single factors are capped: one long task must not mark an agent, but a
-    // ten times slower agent is marked after 5 tasks.
     constexpr auto largest = 8.0;
+    return std::min(factor, largest);
+}
+
+auto agent_health::observe_factor(time_point now, double factor) -> void
+{
+    // A ten times slower agent is marked after 5 tasks.
     constexpr auto weight = 1.0 / 32;
     // A straggler gets few tasks, so each counts more.
     constexpr auto straggler_weight = 0.25;
-    m_factor += (std::min(factor, largest) - m_factor) *
+    m_factor += (limited(factor) - m_factor) *
                 (is_straggler() ? straggler_weight : weight);
     m_recheck_at = now + straggler_recheck;
 }
--- a/src/core/agent_health.hpp
+++ b/src/core/agent_health.hpp
@@ -28,7 +28,9 @@
 
     auto succeeded(time_point now) -> void;
     auto failed(time_point now) -> void;
-    /// Adds a run time as a multiple of the expected one.
+    /// A factor as it counts in means: one long task must not mark an agent.
+    [[nodiscard]] static auto limited(double factor) -> double;
+    /// Adds a run time as a multiple of the one expected of any agent.
     auto observe_factor(time_point now, double factor) -> void;
     /// Notes that a task was bound to the agent.
     auto bound() -> void;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -258,7 +258,7 @@
     auto const& times = m_ledger->service(item.m_service).m_times;
     auto latest = item.m_deadline;
     if (latest != never)
-        latest -= times.least(item.m_run_time);
+        latest -= times.margin(item.m_run_time, latest - now);
     auto const cost = times.expected(item.m_run_time);
     m_ledger->add({std::move(item), now, latest,
                    cost > duration{0} ? cost : unknown_cost, 0});
@@ -275,12 +275,18 @@
     {
         auto const actual = now - done.m_started_at;
         auto const declared = done.m_item.m_run_time;
-        auto const expected = service.m_times.expected(declared);
         if (agent != nullptr && service.m_times.is_warm())
-            agent->m_health.observe_factor(
-                now, static_cast<double>(actual.count()) /
-                         static_cast<double>(
-                             std::max(expected, duration{1}).count()));
+        {
+            auto const expected =
+                std::max(service.m_times.expected(declared), duration{1});
+            auto const factor = static_cast<double>(actual.count()) /
+                                static_cast<double>(expected.count());
+            // Faster than the mean of an agent of ten, see agent_health.
+            constexpr auto weight = 1.0 / 128;
+            service.m_factor +=
+                (agent_health::limited(factor) - service.m_factor) * weight;
+            agent->m_health.observe_factor(now, factor / service.m_factor);
+        }
         service.m_times.observe(declared, actual);
         service.m_queue.charge(done.m_item.m_priority, done.m_item.m_customer,
                                actual - done.m_cost);
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -90,7 +90,8 @@
         -> void;
     /// Takes a queued item out. False if it is not queued.
     auto withdraw(attempt_id attempt) -> bool;
-    /// Takes out the queued items that can't meet their deadline any more.
+    /// Takes out the queued items that probably can't meet their deadline any
+    /// more.
     [[nodiscard]] auto expire(time_point now) -> std::vector<attempt_id>;
     /// When `expire` or `next` may have something to do although nothing else
     /// happens; `never` if not at all. For use after both found nothing more to
--- a/src/core/run_time_estimator.cpp
+++ b/src/core/run_time_estimator.cpp
@@ -29,6 +29,10 @@
         static_cast<double>(std::max(actual, duration{1}).count());
     ++m_count;
     m_mean += (time - m_mean) * weight(m_count);
+    // Rises and falls in the ratio 99 to 1, so it settles where one of 100
+    // tasks takes longer.
+    m_high = std::max(m_high, m_mean);
+    m_high *= time > m_high ? 1.099 : 0.999;
     if (declared <= duration{0})
         return;
     ++m_declared_count;
@@ -40,15 +44,12 @@
 
 auto run_time_estimator::expected(duration declared) const -> duration
 {
-    if (declared <= duration{0})
+    if (m_count == 0)
+        return std::max(declared, duration{0});
+    if (declared <= duration{0} || !is_declared_reliable())
         return mean();
-    if (m_declared_count == 0)
-        return m_count == 0 ? declared : std::min(declared, mean());
-    auto const corrected =
-        static_cast<double>(declared.count()) * std::exp(m_log_ratio);
-    if (is_declared_reliable())
-        return rounded(corrected);
-    return rounded(std::min(corrected, m_mean));
+    return rounded(static_cast<double>(declared.count()) *
+                   std::exp(m_log_ratio));
 }
 
 auto run_time_estimator::least(duration declared) const -> duration
@@ -60,6 +61,14 @@
                    std::exp(m_log_ratio - m_log_error / 2));
 }
 
+auto run_time_estimator::margin(duration declared, duration budget) const
+    -> duration
+{
+    if (declared > duration{0} && is_declared_reliable())
+        return least(declared);
+    return std::min(rounded(m_high), std::max(budget / 2, duration{0}));
+}
+
 auto run_time_estimator::is_warm() const -> bool
 {
     constexpr auto enough = std::uint64_t{32};
--- a/src/core/run_time_estimator.hpp
+++ b/src/core/run_time_estimator.hpp
@@ -20,6 +20,11 @@
     /// Run time that a task needs at least, as far as its declared one can be
     /// trusted; 0 if it can't.
     [[nodiscard]] auto least(duration declared) const -> duration;
+    /// Run time to leave before a deadline that is `budget` away when the task
+    /// has to wait: `least` if the declared one can be trusted, else a run time
+    /// that 99 of 100 tasks stay below, up to half the budget.
+    [[nodiscard]] auto margin(duration declared, duration budget) const
+        -> duration;
     /// True once enough tasks were observed to judge single agents by.
     [[nodiscard]] auto is_warm() const -> bool;
     /// Mean observed run time; 0 before the first observation.
@@ -31,6 +36,8 @@
     std::uint64_t m_count = 0;
     std::uint64_t m_declared_count = 0;
     double m_mean = 0;
+    /// Run time that 99 of 100 tasks stay below.
+    double m_high = 0;
     /// Mean of log(actual / declared) and of its distance from that mean.
     double m_log_ratio = 0;
     double m_log_error = 0;
--- a/src/core/work_ledger.hpp
+++ b/src/core/work_ledger.hpp
@@ -25,6 +25,9 @@
     /// Items that any agent of the service may run.
     service_queue m_queue;
     run_time_estimator m_times;
+    /// Mean of run time over expected run time. A change that all agents share
+    /// shows here and makes none of them a straggler.
+    double m_factor = 1.0;
     std::optional<std::size_t> m_limit;
     /// Also counts the items in the queues of agents and those held.
     std::size_t m_queued = 0;
--- a/src/experiment/workload.cpp
+++ b/src/experiment/workload.cpp
@@ -121,7 +121,10 @@
         std::priority_queue<request*, std::vector<request*>, later>{};
     auto ends = std::priority_queue<time_point, std::vector<time_point>,
                                     std::greater<>>{};
-    auto const slots = std::size_t{of.m_endpoints} * of.m_slots;
+    auto const has_fault =
+        of.m_has_failing_endpoint || of.m_straggler_factor > 1;
+    auto const slots =
+        std::size_t{of.m_endpoints - (has_fault ? 1 : 0)} * of.m_slots;
     auto const start = [&](request& next, time_point now)
     {
         next.m_started = now;
--- a/src/experiment/workload.hpp
+++ b/src/experiment/workload.hpp
@@ -52,7 +52,8 @@
 [[nodiscard]] auto mean_run_time(scenario const& of) -> duration;
 
 /// Runs the workload in one queue over all slots, in priority order, without
-/// network beyond the clients' round trip and without faults.
+/// network beyond the clients' round trip. It knows and leaves out an endpoint
+/// that fails or is a straggler.
 auto run_ideal(scenario const& of, std::vector<request>& requests) -> void;
 
 } // namespace hickorylatch::experiment
