--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -134,18 +134,24 @@
     return m_ledger->reassign(attempt, agent);
 }
 
+auto dispatcher::bind_ahead(duration lead) -> void
+{
+    m_ledger->predict_ends(lead);
+}
+
 auto dispatcher::next(time_point now) -> std::optional<placement>
 {
+    m_ledger->mark_ending(now);
     return m_binder.bind_next(now);
 }
 
 auto dispatcher::finish(time_point now, attempt_id attempt,
-                        attempt_outcome outcome) -> void
+                        attempt_outcome outcome, duration run_time) -> void
 {
     auto const done = m_ledger->stop(attempt);
     if (!done)
         return;
-    record_run(now, *done, outcome);
+    record_run(now, *done, outcome, run_time);
     if (auto* const agent = m_ledger->agents().find(done->m_agent))
         m_ledger->agents().refresh(*agent);
 }
@@ -168,14 +174,17 @@
     }
 }
 
-auto dispatcher::wake_at() const -> time_point
+auto dispatcher::wake_at(time_point now) const -> time_point
 {
-    auto const expiry = m_ledger->next_expiry().first;
+    auto const earliest =
+        std::min(m_ledger->next_expiry().first, m_ledger->next_ending());
     auto const& agents = std::as_const(*m_ledger).agents();
     for (auto const& [at, node] : agents.trials())
     {
-        if (at >= expiry)
+        if (at >= earliest)
             break;
+        if (at <= now)
+            continue;
         auto const& agent = *agents.find(node);
         auto const* const service =
             m_ledger->find_service(agent.m_info.m_service);
@@ -183,7 +192,7 @@
             (service != nullptr && service->m_queue.size() > 0))
             return at;
     }
-    return expiry;
+    return earliest;
 }
 
 auto dispatcher::has_agent(node_id node) const -> bool
@@ -256,14 +265,14 @@
     auto const& times = m_ledger->service(item.m_service).m_times;
     auto latest = item.m_deadline;
     if (latest != never)
-        latest -= times.least(item.m_run_time);
+        latest -= times.margin(item.m_run_time, latest - now);
     auto const cost = times.expected(item.m_run_time);
     m_ledger->add({std::move(item), now, latest,
                    cost > duration{0} ? cost : unknown_cost, 0});
 }
 
 auto dispatcher::record_run(time_point now, running_item const& done,
-                            attempt_outcome outcome) -> void
+                            attempt_outcome outcome, duration run_time) -> void
 {
     auto* const agent = m_ledger->agents().find(done.m_agent);
     auto& service = m_ledger->service(done.m_item.m_service);
@@ -271,14 +280,21 @@
     // everything at once would look the fastest.
     if (outcome == attempt_outcome::succeeded && done.m_is_known)
     {
-        auto const actual = now - done.m_started_at;
+        auto const actual =
+            run_time > duration{0} ? run_time : now - done.m_started_at;
         auto const declared = done.m_item.m_run_time;
-        auto const expected = service.m_times.expected(declared);
         if (agent != nullptr && service.m_times.is_warm())
-            agent->m_health.observe_factor(
-                now, static_cast<double>(actual.count()) /
-                         static_cast<double>(
-                             std::max(expected, duration{1}).count()));
+        {
+            auto const expected =
+                std::max(service.m_times.expected(declared), duration{1});
+            auto const factor = static_cast<double>(actual.count()) /
+                                static_cast<double>(expected.count());
+            // Faster than the mean of an agent of ten, see agent_health.
+            constexpr auto weight = 1.0 / 128;
+            service.m_factor +=
+                (agent_health::limited(factor) - service.m_factor) * weight;
+            agent->m_health.observe_factor(now, factor / service.m_factor);
+        }
         service.m_times.observe(declared, actual);
         service.m_queue.charge(done.m_item.m_priority, done.m_item.m_customer,
                                actual - done.m_cost);
