--- /dev/null
+++ b/fuzz/require.hpp
@@ -0,0 +1,19 @@
+#ifndef HICKORYLATCH_FUZZ_REQUIRE_HPP
+#define HICKORYLATCH_FUZZ_REQUIRE_HPP
+
+#include <stdexcept>
+
+namespace hickorylatch::fuzz
+{
+
+/// Throws if a property does not hold. The fuzzer reports it as a crash, the
+/// test programs as a failed test.
+inline auto require(bool holds, char const* property) -> void
+{
+    if (!holds)
+        throw std::logic_error{property};
+}
+
+} // namespace hickorylatch::fuzz
+
+#endif
