Refuse JSON numbers beyond the range of a double

A record with such a number in an unknown field ended the process with an unhandled exception, because the infinity that it was read as could not be printed as JSON and parsed again. Found by fuzz_job_record.

--- a/src/settings/json_document.cpp
+++ b/src/settings/json_document.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/value.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 #include <utility>
@@ -95,9 +96,13 @@
     {
         return skip();
     }
-    auto on_double(double, string_view, error_code&) -> bool
+    auto on_double(double value, string_view, error_code&) -> bool
     {
-        return skip();
+        if (std::isfinite(value))
+            return skip();
+        // An infinity could not be printed as JSON again.
+        m_errors->add(next_path(), "number is too large");
+        return true;
     }
     auto on_bool(bool, error_code&) -> bool
     {
--- a/tests/settings/test_job_record.cpp
+++ b/tests/settings/test_job_record.cpp
@@ -175,3 +175,13 @@
         R"({"schema_version":2,"verdict":"not_run","reason":"quota",)"
         R"("detail":"","retry_after_ms":5,"answers":[]})");
 }
+
+// Guards against an unhandled exception: a number beyond the range of a double
+// is read as infinity, which cannot be printed as JSON again.
+BOOST_AUTO_TEST_CASE(numbers_that_are_too_large_are_errors)
+{
+    BOOST_TEST(errors_of(record(1, R"(, "size": [1, -1e999])")) ==
+               "job record: size[1]: number is too large");
+    BOOST_TEST(errors_of(record(1, {}, R"(, "size": 1e999)")) ==
+               "job record: tasks[0].size: number is too large");
+}
