--- a/src/settings/json_document.cpp
+++ b/src/settings/json_document.cpp
@@ -96,13 +96,13 @@
     {
         return skip();
     }
-    auto on_double(double value, string_view, error_code&) -> bool
+    auto on_double(double value, string_view, error_code& error) -> bool
     {
         if (std::isfinite(value))
             return skip();
         // An infinity could not be printed as JSON again.
-        m_errors->add(next_path(), "number is too large");
-        return true;
+        error = boost::json::error::exponent_overflow;
+        return false;
     }
     auto on_bool(bool, error_code&) -> bool
     {
