--- a/tests/settings/test_job_record.cpp
+++ b/tests/settings/test_job_record.cpp
@@ -175,3 +175,16 @@
         R"({"schema_version":2,"verdict":"not_run","reason":"quota",)"
         R"("detail":"","retry_after_ms":5,"answers":[]})");
 }
+
+// Guards against an unhandled exception: a number beyond the range of a double
+// is read as infinity, which cannot be printed as JSON again.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_errors)
+{
+    for (auto const* number : {"0.6E4442", "[1, -1e999]"})
+    {
+        auto const field = std::string{R"(, "size": )"} + number;
+        for (auto const& text : {record(1, field), record(1, {}, field)})
+            BOOST_TEST(errors_of(text).find("exponent overflow") !=
+                       std::string::npos);
+    }
+}
