Refuse JSON numbers out of range

Boost.JSON reads them as infinite; an unknown field of a job record with such a number could not be printed again and ended in an exception.

--- a/src/settings/job_record.cpp
+++ b/src/settings/job_record.cpp
@@ -119,7 +119,8 @@
     return extra.empty() ? std::string{} : print_canonical(extra);
 }
 
-auto read_job(object_reader& in, std::uint32_t version) -> core::submission
+auto read_job(object_reader& in, std::uint32_t version,
+              error_collector const& errors) -> core::submission
 {
     auto out = core::submission{};
     out.m_kind = core::submission_kind::job;
@@ -148,7 +149,9 @@
     out.m_tasks.reserve(tasks.size());
     for (auto& task : tasks)
         out.m_tasks.push_back(read_task(task, version));
-    out.m_extra = collect_extra(in, tasks);
+    // Numbers out of range can't be printed.
+    if (!errors.has_errors())
+        out.m_extra = collect_extra(in, tasks);
     return out;
 }
 
@@ -195,7 +198,7 @@
     auto const version = read_schema_version(*top);
     if (version == 0)
         return boost::leaf::new_error(errors.take());
-    auto parsed = read_job(*top, version);
+    auto parsed = read_job(*top, version, errors);
     if (errors.has_errors())
         return boost::leaf::new_error(errors.take());
     parsed.m_digest = content_digest(parsed);
--- a/src/settings/json_document.cpp
+++ b/src/settings/json_document.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/value.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 #include <utility>
@@ -16,9 +17,10 @@
 namespace
 {
 
-/// Parser events that find keys given twice in one object. The library's own
-/// values silently keep the last one.
-class duplicate_finder
+/// Parser events that find what the library's own values silently change: keys
+/// given twice in one object, of which they keep the last one, and numbers out
+/// of range, which become infinite and can't be printed again.
+class record_checker
 {
 public:
     static constexpr auto max_object_size = std::size_t(-1);
@@ -29,7 +31,7 @@
     using error_code = boost::json::error_code;
     using string_view = boost::json::string_view;
 
-    explicit duplicate_finder(error_collector& errors) : m_errors(&errors)
+    explicit record_checker(error_collector& errors) : m_errors(&errors)
     {
     }
 
@@ -95,8 +97,10 @@
     {
         return skip();
     }
-    auto on_double(double, string_view, error_code&) -> bool
+    auto on_double(double number, string_view, error_code&) -> bool
     {
+        if (!std::isfinite(number))
+            m_errors->add(value_path(), "number out of range");
         return skip();
     }
     auto on_bool(bool, error_code&) -> bool
@@ -133,14 +137,23 @@
         return true;
     }
 
-    auto next_path() -> std::string
+    /// Path of the value that comes next.
+    [[nodiscard]] auto value_path() const -> std::string
     {
         if (m_levels.empty())
             return {};
-        auto& parent = m_levels.back();
+        auto const& parent = m_levels.back();
         if (!parent.m_is_array)
             return join_path(parent.m_path, parent.m_key);
-        return join_path(parent.m_path, parent.m_index++);
+        return join_path(parent.m_path, parent.m_index);
+    }
+
+    /// Path of a nested object or array that begins.
+    auto next_path() -> std::string
+    {
+        auto path = value_path();
+        skip();
+        return path;
     }
 
     error_collector* m_errors;
@@ -172,7 +185,7 @@
                   error_collector& errors) -> bool
 {
     auto parser =
-        boost::json::basic_parser<duplicate_finder>{options(syntax), errors};
+        boost::json::basic_parser<record_checker>{options(syntax), errors};
     auto error = boost::json::error_code{};
     auto const read = parser.write_some(false, text.data(), text.size(), error);
     if (!error && read < text.size())
--- a/src/settings/json_document.hpp
+++ b/src/settings/json_document.hpp
@@ -23,7 +23,8 @@
 class json_document
 {
 public:
-    /// Adds errors for bad syntax, duplicate keys and a top that is no object.
+    /// Adds errors for bad syntax, duplicate keys, numbers out of range and a
+    /// top that is no object.
     json_document(std::string_view text, json_syntax syntax,
                   error_collector& errors);
     ~json_document();
--- a/tests/settings/test_job_record.cpp
+++ b/tests/settings/test_job_record.cpp
@@ -113,6 +113,14 @@
                "86400000");
 }
 
+// Guards against an unknown field that can't be printed again: the library
+// reads such a number as infinite.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_refused_in_unknown_fields)
+{
+    BOOST_TEST(errors_of(record(1, R"(, "z": [1, 1e999])")) ==
+               "job record: z[1]: number out of range");
+}
+
 BOOST_AUTO_TEST_CASE(the_number_of_tasks_is_bounded)
 {
     auto const with_tasks = [](std::size_t count)
