--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -9,6 +9,21 @@
 namespace hickorylatch::net
 {
 
+namespace
+{
+
+struct configuration_deleter
+{
+    auto operator()(event_config* handle) const noexcept -> void
+    {
+        event_config_free(handle);
+    }
+};
+using configuration_handle =
+    std::unique_ptr<event_config, configuration_deleter>;
+
+} // namespace
+
 auto event_deleter::operator()(::event* handle) const noexcept -> void
 {
     event_free(handle);
@@ -22,7 +37,14 @@
 event_loop::event_loop()
 {
     static auto const threads_enabled = evthread_use_pthreads();
-    m_base.reset(threads_enabled == 0 ? event_base_new() : nullptr);
+    auto const configuration = configuration_handle{event_config_new()};
+    if (threads_enabled != 0 || !configuration)
+        throw std::bad_alloc{};
+    // By default timers count from the start of the loop's turn, on a coarse
+    // clock, and so may fire before their delay has passed.
+    event_config_set_flag(configuration.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_config_set_flag(configuration.get(), EVENT_BASE_FLAG_NO_CACHE_TIME);
+    m_base.reset(event_base_new_with_config(configuration.get()));
     if (!m_base)
         throw std::bad_alloc{};
     auto const wake = [](evutil_socket_t, short, void* self)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -77,11 +77,12 @@
     /// Drops calls in progress; their callbacks are not called.
     ~http_client();
 
-    /// Starts a call. The callback is called once, in a later turn of the
-    /// loop.
+    /// Starts a call. The callback is called once, after this function has
+    /// returned. It may start and cancel calls, but must not destroy the
+    /// client.
     auto start(http_call const& call, callback finished) -> call_id;
-    /// Ends a call and closes its connection. Its callback is called with what
-    /// is known at that point. Does nothing if the call has ended.
+    /// Ends a call and closes its connection. Its callback is called before
+    /// this function returns. Does nothing if the call has ended.
     auto cancel(call_id call) -> void;
     /// Calls in progress.
     [[nodiscard]] auto active() const -> std::size_t;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -200,6 +200,14 @@
     // The server owns the listener from here on.
     static_cast<void>(listener.release());
     m_listeners.push_back(bound);
+    // Accepting fails when the process has no file descriptor left; trying
+    // again at once would keep the loop busy. The next check enables it.
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(bound),
+                                [](evconnlistener* failed, void*)
+                                {
+                                    evconnlistener_disable(failed);
+                                });
+    m_pending_check.start(pending_check_interval);
     return port;
 }
 
@@ -293,8 +301,6 @@
     pending.m_connection.reset(connection);
     pending.m_deadline = m_loop.now() + m_settings.m_read_timeout;
     m_pending.push_back(std::move(pending));
-    if (!m_pending_check.is_running())
-        m_pending_check.start(pending_check_interval);
     update_listeners();
     return connection;
 }
@@ -404,8 +410,7 @@
                                       BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
                                       BEV_TRIG_DEFER_CALLBACKS);
     }
-    if (!m_pending.empty())
-        m_pending_check.start(pending_check_interval);
+    m_pending_check.start(pending_check_interval);
     update_listeners();
 }
 
@@ -413,8 +418,6 @@
 {
     auto const is_full =
         connections() >= m_settings.m_connection_limit + refused_connections;
-    if (is_full == std::exchange(m_is_paused, is_full))
-        return;
     for (auto* const listener : m_listeners)
     {
         auto* const socket = evhttp_bound_socket_get_listener(listener);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -114,7 +114,6 @@
     evhttp_handle m_http;
     std::vector<evhttp_bound_socket*> m_listeners;
     bool m_is_stopping = false;
-    bool m_is_paused = false;
     std::unordered_map<core::exchange_id, std::unique_ptr<open_exchange>>
         m_exchanges;
     /// Connections that have not sent a whole request yet.
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -37,6 +37,11 @@
            CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
+// Accepting fails when the process has no file descriptor left; trying again
+// at once would keep the loop busy.
+constexpr auto accept_retry_interval =
+    core::duration{std::chrono::milliseconds{100}};
+
 /// Why a hello is refused; empty if it is not.
 auto hello_fault(core::hello const& own, core::hello const& peer)
     -> std::string_view
@@ -84,6 +89,11 @@
 peer_links::peer_links(event_loop& loop, peer_links_settings settings)
     : m_loop{loop}, m_settings{std::move(settings)},
       m_random{static_cast<std::uint64_t>(m_settings.m_hello.m_node)},
+      m_accept_retry{loop,
+                     [this]
+                     {
+                         evconnlistener_enable(m_listener.get());
+                     }},
       m_cleanup{loop, [this]
                 {
                     std::erase_if(m_links,
@@ -107,6 +117,13 @@
             socket, {remote, static_cast<socklen_t>(size)});
     };
     evconnlistener_set_cb(m_listener.get(), accepted, this);
+    auto const accept_failed = [](evconnlistener* listener, void* self)
+    {
+        evconnlistener_disable(listener);
+        static_cast<peer_links*>(self)->m_accept_retry.start(
+            accept_retry_interval);
+    };
+    evconnlistener_set_error_cb(m_listener.get(), accept_failed);
     return {};
 }
 
@@ -153,7 +170,15 @@
     if (found == m_by_node.end())
         return;
     auto& link = *m_links.at(found->second)->m_link;
-    link.send_frame(wire::encode(message));
+    auto const body = wire::encode(message);
+    // The peer would close the link, and again after each resend.
+    if (body.size() > m_settings.m_frame_limit)
+    {
+        return log(core::log_level::error, "message_lost",
+                   m_links.at(found->second)->m_remote,
+                   "message over the frame limit");
+    }
+    link.send_frame(body);
     if (link.unsent() > m_settings.m_output_limit)
         fail(found->second, "unsent bytes over the limit");
 }
@@ -333,6 +358,9 @@
     {
         // The side that opened the link closes it once it has read the hello
         // and so knows that it needs none.
+        if (is_self && link.m_is_outgoing)
+            log(core::log_level::info, "link_closed", link.m_remote,
+                "the peer has this process's node id");
         if (link.m_is_outgoing)
             drop(link.m_id);
         link.m_is_superseded = true;
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -63,7 +63,8 @@
     /// Keeps a link open to each of these addresses and closes outgoing links
     /// to any other.
     auto keep(std::span<std::string const> addresses) -> void;
-    /// Sends a message, or loses it if there is no link to the node.
+    /// Sends a message, or loses it if there is no link to the node or if it
+    /// is over the frame limit.
     auto send(core::node_id to, core::message const& message) -> void;
     /// Sets the control group's identity said in later hellos; 0 for none.
     auto set_cluster(std::uint64_t cluster) -> void;
@@ -109,6 +110,7 @@
     std::unordered_map<link_id, std::unique_ptr<link_state>> m_links;
     std::unordered_map<core::node_id, link_id> m_by_node;
     std::map<std::string, std::unique_ptr<target_state>, std::less<>> m_targets;
+    timer m_accept_retry;
     /// Destroys closed links outside their own callbacks.
     timer m_cleanup;
 
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -11,6 +11,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -111,6 +112,26 @@
     net::listener_handle m_listener;
 };
 
+auto until_closed(net::event_loop& loop, raw_socket& socket) -> bool
+{
+    auto const is_closed = [&]
+    {
+        socket.poll();
+        return socket.is_closed();
+    };
+    return run_until(loop, is_closed);
+}
+
+auto until_size(net::event_loop& loop, auto const& items, std::size_t size)
+    -> bool
+{
+    return run_until(loop,
+                     [&]
+                     {
+                         return items.size() == size;
+                     });
+}
+
 auto request_text(std::string_view path, std::string_view body = {})
     -> std::string
 {
@@ -259,12 +280,7 @@
     {
         auto client = raw_socket{tested.m_port};
         client.send(bytes);
-        BOOST_TEST(run_until(loop,
-                             [&]
-                             {
-                                 client.poll();
-                                 return client.is_closed();
-                             }));
+        BOOST_TEST(until_closed(loop, client));
         return client.received().substr(0, 12);
     };
     BOOST_TEST(status_of(request_text("/", "eleven char")) == "HTTP/1.1 413");
@@ -311,12 +327,7 @@
                          }));
     auto refused = raw_socket{tested.m_port};
     refused.send(request_text("/"));
-    BOOST_TEST(run_until(loop,
-                         [&]
-                         {
-                             refused.poll();
-                             return refused.is_closed();
-                         }));
+    BOOST_TEST(until_closed(loop, refused));
     BOOST_TEST(refused.received().starts_with("HTTP/1.1 503"));
     served.close();
     BOOST_TEST(run_until(loop,
@@ -333,6 +344,25 @@
                          }));
 }
 
+// Guards against a server that stays deaf, or keeps the loop busy, after the
+// process ran out of file descriptors.
+BOOST_AUTO_TEST_CASE(accepting_recovers_from_lack_of_descriptors)
+{
+    auto loop = net::event_loop{};
+    auto tested = server{loop};
+    auto client = raw_socket{tested.m_port};
+    client.send(request_text("/"));
+    auto usual = rlimit{};
+    BOOST_TEST(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    auto const none = rlimit{0, usual.rlim_max};
+    BOOST_TEST(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    for (auto turn = 0; turn < 3; ++turn)
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    BOOST_TEST(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    BOOST_TEST(tested.m_requests.empty());
+    BOOST_TEST(until_size(loop, tested.m_requests, 1));
+}
+
 // Guards against a graceful stop that cuts off a request in progress.
 BOOST_AUTO_TEST_CASE(stopping_server_answers_open_exchanges)
 {
@@ -348,12 +378,7 @@
     tested.m_http.stop_accepting();
     BOOST_CHECK_THROW(raw_socket{tested.m_port}, std::runtime_error);
     tested.m_http.answer(tested.m_requests.front().m_exchange, 200, {}, "done");
-    BOOST_TEST(run_until(loop,
-                         [&]
-                         {
-                             client.poll();
-                             return client.is_closed();
-                         }));
+    BOOST_TEST(until_closed(loop, client));
     BOOST_TEST(client.received().find("Connection: close") !=
                std::string::npos);
     BOOST_TEST(client.received().ends_with("done"));
--- a/tests/net/test_loop_parts.cpp
+++ b/tests/net/test_loop_parts.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <memory>
@@ -49,6 +50,33 @@
     BOOST_TEST(!counted.is_running());
 }
 
+// Guards against deadlines that pass too early.
+BOOST_AUTO_TEST_CASE(timer_never_fires_early)
+{
+    auto loop = net::event_loop{};
+    constexpr auto delay = hickorylatch::core::duration{2'000};
+    auto fired = 0;
+    auto started_at = hickorylatch::core::time_point{0};
+    auto shortest = hickorylatch::core::duration::max();
+    auto repeated = std::optional<net::timer>{};
+    auto const measure = [&]
+    {
+        ++fired;
+        shortest = std::min(shortest, loop.now() - started_at);
+        started_at = loop.now();
+        repeated->start(delay);
+    };
+    repeated.emplace(loop, measure);
+    started_at = loop.now();
+    repeated->start(delay);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return fired >= 100;
+                         }));
+    BOOST_TEST(shortest.count() >= delay.count());
+}
+
 // Guards against SIGTERM ending the process in the middle of a request (I7).
 BOOST_AUTO_TEST_CASE(signals_arrive_on_the_loop)
 {
--- a/tests/net/test_peer_links.cpp
+++ b/tests/net/test_peer_links.cpp
@@ -83,6 +83,16 @@
     net::peer_links m_links;
 };
 
+auto until_size(net::event_loop& loop, auto const& items, std::size_t size)
+    -> bool
+{
+    return run_until(loop,
+                     [&]
+                     {
+                         return items.size() == size;
+                     });
+}
+
 auto frame(core::message const& message) -> std::string
 {
     auto const body = wire::encode(message);
@@ -298,6 +308,7 @@
     auto loop = net::event_loop{};
     auto made = settings(1);
     made.m_output_limit = 1'000;
+    made.m_frame_limit = 3'000;
     auto server = node{loop, made};
     auto peer = raw_socket{server.m_links.port()};
     peer.send(frame(settings(2).m_hello));
@@ -306,11 +317,15 @@
                          {
                              return !server.m_connected.empty();
                          }));
+    auto const too_large =
+        core::install_snapshot{.m_data = std::string(4'000, 'x')};
+    server.m_links.send(core::node_id{2}, too_large);
+    BOOST_TEST(server.m_disconnected.empty());
     auto const large =
         core::install_snapshot{.m_data = std::string(2'000, 'x')};
     server.m_links.send(core::node_id{2}, large);
     BOOST_TEST(server.m_disconnected.size() == 1U);
-    BOOST_TEST(server.m_causes.size() == 1U);
+    BOOST_TEST(server.m_causes.size() == 2U);
 }
 
 // Guards against an unclear message when a port is taken.
