--- a/src/core/status_document.cpp
+++ b/src/core/status_document.cpp
@@ -50,7 +50,8 @@
         auto const* state = !link.m_is_connected ? "disconnected"
                             : info.m_leaving     ? "leaving"
                             : is_drained         ? "drained"
-                                                 : "serving";
+                            : work->work().is_on_probation(node) ? "probation"
+                                                                 : "serving";
         auto const silent =
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 now - link.m_heard_at);
@@ -124,6 +125,7 @@
     auto const& log = shown.log();
     return json::serialize(json::object{
         {"node", to_hexadecimal(log.identity())},
+        {"address", shown.address()},
         {"cluster", to_hexadecimal(node_id{log.cluster()})},
         {"leader", to_hexadecimal(log.leader())},
         {"leading", shown.is_leading(now)},
