--- a/tests/core/test_replica_faults.cpp
+++ b/tests/core/test_replica_faults.cpp
@@ -203,3 +203,25 @@
                                               << " replicas: " << wrong);
         }
 }
+
+// Guards against a write whose loss in a crash breaks a promise: crashes just
+// before and just after each of the writes of a short run.
+BOOST_AUTO_TEST_CASE(crash_at_each_sync_loses_nothing)
+{
+    for (auto const is_before : {false, true})
+        for (auto number = std::uint64_t{1}; number <= 120; ++number)
+        {
+            auto cluster = replica_cluster{1, 3};
+            cluster.m_crash_at = number;
+            cluster.m_is_crash_before_write = is_before;
+            cluster.found();
+            for (auto step = 0; step < 160; ++step)
+            {
+                cluster.run_for(50ms);
+                cluster.propose();
+            }
+            BOOST_TEST(cluster.m_syncs > number);
+            auto const wrong = verdict_of(cluster);
+            BOOST_TEST(wrong.empty(), "write " << number << ": " << wrong);
+        }
+}
