--- a/src/settings/json_document.cpp
+++ b/src/settings/json_document.cpp
@@ -100,7 +100,8 @@
     auto on_double(double number, string_view, error_code&) -> bool
     {
         if (!std::isfinite(number))
-            m_errors->add(value_path(), "number out of range");
+            m_errors->add(value_path(),
+                          "number out of range (exponent overflow)");
         return skip();
     }
     auto on_bool(bool, error_code&) -> bool
--- a/tests/settings/test_job_record.cpp
+++ b/tests/settings/test_job_record.cpp
@@ -118,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_refused_in_unknown_fields)
 {
     BOOST_TEST(errors_of(record(1, R"(, "z": [1, 1e999])")) ==
-               "job record: z[1]: number out of range");
+               "job record: z[1]: number out of range (exponent overflow)");
 }
 
 BOOST_AUTO_TEST_CASE(the_number_of_tasks_is_bounded)
