Keep verdicts true and slots exact across link, agent and leader changes

The seeded fault test of the whole system found, and now guards: - an entry refused a resent key as not run although its first copy ran; - a leader called a request not run that an earlier leader had started; - a retried attempt kept its id, so one of two agents leaked a slot; - a start sent between a link and its announcement was taken for lost; - two copies of one submission reached a leader, and the second one ran after the first was refused; copies now name the term and their number.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -33,6 +33,8 @@
                         random_source& random, effects& out) -> void
 {
     m_peers[peer.m_node] = peer;
+    if (m_coordinator)
+        m_coordinator->connected(peer.m_node);
     auto const with = context(now, random, out);
     auto const members = m_replica.members();
     auto const is_blank_member =
@@ -98,16 +100,22 @@
     auto const* dropped = std::get_if<cancel>(&incoming);
     if (request == nullptr && asked == nullptr && dropped == nullptr)
         return false;
-    if (!is_leading(with.m_now))
+    if (request != nullptr)
+    {
+        auto const is_taken = is_leading(with.m_now) &&
+                              request->m_term == m_replica.term() &&
+                              m_coordinator->submit(with, from, *request);
+        if (!is_taken)
+            with.m_out.emplace_back(
+                send{from, not_leader{request->m_sequence, m_replica.leader(),
+                                      request->m_copy}});
+    }
+    else if (!is_leading(with.m_now))
     {
-        auto const sequence = request != nullptr ? request->m_sequence
-                              : asked != nullptr ? asked->m_sequence
-                                                 : 0;
-        with.m_out.emplace_back(
-            send{from, not_leader{sequence, m_replica.leader()}});
+        if (asked != nullptr)
+            with.m_out.emplace_back(send{
+                from, not_leader{asked->m_sequence, m_replica.leader(), 0}});
     }
-    else if (request != nullptr)
-        m_coordinator->submit(with, from, *request);
     else if (dropped != nullptr)
         m_coordinator->cancel(with, from, *dropped);
     else
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -70,20 +70,24 @@
 }
 
 auto coordinator::submit(control_context const& with, node_id from,
-                         core::submit const& request) -> void
+                         core::submit const& request) -> bool
 {
     auto const who = waiter{from, request.m_sequence, request.m_sent_at};
     // A resend over a new link to the same leader joins what it began.
     if (auto const known = m_waiting.find({from, request.m_sequence});
         known != m_waiting.end())
-        return;
+        return true;
     if (join(with, request, who))
-        return;
+        return true;
+    // Until the agents have announced themselves, capacity is not known.
+    if (request.m_submission.m_kind == submission_kind::job &&
+        with.m_now < m_began + settling_time)
+        return false;
     auto const& work = request.m_submission;
     if (auto const why = refusal(with, work))
     {
         answer(with, who, *why, {});
-        return;
+        return true;
     }
     auto const* target = find_service(with.m_state.config(), work.m_service);
     auto const is_volatile = work.m_kind == submission_kind::request &&
@@ -92,31 +96,43 @@
     if (work.m_kind == submission_kind::job)
     {
         accept_job(with, live);
-        return;
+        return true;
     }
     auto const running = m_orphans.find({from, request.m_sequence});
     if (!is_volatile || running == m_orphans.end())
     {
         enqueue(with, live, 0, no_node);
-        return;
+        return true;
     }
     adopt(live.m_origin, running->second);
     m_orphans.erase(running);
+    return true;
 }
 
-auto coordinator::adopt(origin_id origin, orphan const& running) -> void
+auto coordinator::new_origin(bool is_volatile) -> origin_id
+{
+    auto const origin = (m_term << origin_counter_bits) | ++m_counter;
+    return is_volatile ? origin | volatile_origin : origin;
+}
+
+auto coordinator::rename(origin_id from, origin_id to) -> void
 {
-    auto found = m_live.extract(origin);
-    found.key() = running.m_attempt.m_origin;
-    auto& work = found.mapped();
-    work.m_origin = running.m_attempt.m_origin;
-    work.m_tasks[0].m_phase = task_phase::sent;
-    work.m_tasks[0].m_agent = running.m_agent;
-    for (auto const& who : work.m_waiters)
-        m_waiting[{who.m_entry, who.m_sequence}] = work.m_origin;
+    auto found = m_live.extract(from);
+    found.key() = to;
+    found.mapped().m_origin = to;
+    for (auto const& who : found.mapped().m_waiters)
+        m_waiting[{who.m_entry, who.m_sequence}] = to;
     m_live.insert(std::move(found));
 }
 
+auto coordinator::adopt(origin_id origin, orphan const& running) -> void
+{
+    rename(origin, running.m_attempt.m_origin);
+    auto& task = m_live.at(running.m_attempt.m_origin).m_tasks[0];
+    task.m_phase = task_phase::sent;
+    task.m_agent = running.m_agent;
+}
+
 auto coordinator::take_orphans(announce const& news) -> void
 {
     for (auto const& [attempt, caller] : news.m_volatile)
@@ -178,6 +194,12 @@
                           submission const& work) const
     -> std::optional<verdict>
 {
+    // Comes first: nothing else may be called "not run" of a key that could
+    // have been forgotten.
+    if (!work.m_key.empty() &&
+        with.m_state.is_forgotten(work.m_customer, work.m_submitted_at))
+        return uncertain(reason::key_forgotten,
+                         "submissions of that time are no longer known");
     auto const& config = with.m_state.config();
     if (find_customer(config, work.m_customer) == nullptr)
         return refused(reason::unknown_customer, work.m_customer);
@@ -195,9 +217,6 @@
         return refused(reason::missing_submitted_at);
     if (work.m_submitted_at > with.m_wall + clock_tolerance_ms)
         return refused(reason::invalid, "submitted_at lies in the future");
-    if (with.m_state.is_forgotten(work.m_customer, work.m_submitted_at))
-        return uncertain(reason::key_forgotten,
-                         "submissions of that time are no longer known");
     if (with.m_state.submissions().size() >= m_settings.m_key_limit)
         return refused(reason::keys_full, {}, full_table_retry_ms);
     return std::nullopt;
@@ -207,9 +226,7 @@
                            core::submit const& request, waiter const& who,
                            bool is_volatile) -> live_submission&
 {
-    auto origin = (m_term << origin_counter_bits) | ++m_counter;
-    if (is_volatile)
-        origin |= volatile_origin;
+    auto const origin = new_origin(is_volatile);
     auto& work = m_live[origin];
     work.m_origin = origin;
     work.m_submission = request.m_submission;
@@ -330,6 +347,12 @@
 {
     auto& task = work.m_tasks[number];
     auto const& link = m_agents.at(task.m_agent);
+    if (!link.m_has_announced)
+    {
+        // Its announcement, already on the way, would not list this start.
+        task.m_phase = task_phase::unknown;
+        return;
+    }
     auto order = start{};
     order.m_term = m_term;
     order.m_attempt = {work.m_origin, number};
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -46,6 +46,9 @@
     agent_info m_info;
     time_point m_heard_at{0};
     bool m_is_connected = true;
+    /// It announced itself on its present link. Before that, what it was sent
+    /// on an earlier link is not known to have arrived.
+    bool m_has_announced = false;
     time_point m_last_sent_at{0};
     std::vector<attempt_id> m_to_forget;
     time_point m_forgot_at{0};
@@ -70,12 +73,15 @@
 public:
     coordinator(control_settings const& settings, control_context const& with);
 
+    /// False if it can't be taken yet and nothing was done with it.
     auto submit(control_context const& with, node_id from,
-                core::submit const& request) -> void;
+                core::submit const& request) -> bool;
     auto cancel(control_context const& with, node_id from,
                 core::cancel const& request) -> void;
     auto cancel_job(control_context const& with, core::cancel_job const& order)
         -> verdict;
+    /// A link to this process is new; messages on an older one may be lost.
+    auto connected(node_id peer) -> void;
     auto announced(control_context const& with, announce const& news) -> void;
     auto finished(control_context const& with, node_id from,
                   core::finished const& outcome) -> void;
@@ -137,6 +143,8 @@
     auto task_lost(control_context const& with, attempt_id attempt) -> void;
     [[nodiscard]] auto may_retry(live_submission const& work,
                                  std::uint32_t task) const -> bool;
+    [[nodiscard]] auto new_origin(bool is_volatile) -> origin_id;
+    auto rename(origin_id from, origin_id to) -> void;
     auto retry(control_context const& with, live_submission& work,
                std::uint32_t task) -> void;
     auto end(control_context const& with, live_submission& work,
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -40,6 +40,12 @@
 
 } // namespace
 
+auto coordinator::connected(node_id peer) -> void
+{
+    if (auto const link = m_agents.find(peer); link != m_agents.end())
+        link->second.m_has_announced = false;
+}
+
 auto coordinator::announced(control_context const& with, announce const& news)
     -> void
 {
@@ -49,6 +55,7 @@
     link.m_heard_at = with.m_now;
     link.m_is_connected = true;
     link.m_last_sent_at = news.m_sent_at;
+    auto const is_new_link = !std::exchange(link.m_has_announced, true);
     m_expected.erase(node);
     m_dispatcher.add_agent(with.m_now, news.m_agent, news.m_running);
     auto greeting = welcome{};
@@ -57,6 +64,9 @@
     auto const members = with.m_replica.members();
     greeting.m_members.assign(members.begin(), members.end());
     with.m_out.emplace_back(send{node, std::move(greeting)});
+    // On a known link, starts may be on their way to the agent.
+    if (!is_new_link)
+        return;
     take_orphans(news);
     resolve_unknown(with, news);
 }
@@ -93,8 +103,12 @@
         if (found == m_live.end() || found->second.m_has_ended)
             continue;
         m_dispatcher.finish(with.m_now, attempt, attempt_outcome::not_run);
-        auto const bound = is_volatile(attempt) ? no_node : news.m_agent.m_node;
-        enqueue(with, found->second, attempt.m_task, bound);
+        // Results of requests that are not committed are not kept, so one of
+        // these may have run.
+        if (is_volatile(attempt))
+            task_lost(with, attempt);
+        else
+            enqueue(with, found->second, attempt.m_task, news.m_agent.m_node);
     }
 }
 
@@ -190,7 +204,8 @@
         std::ranges::any_of(work.m_tasks,
                             [](live_task const& task)
                             {
-                                return task.m_phase == task_phase::sent ||
+                                return task.m_retries != 0 ||
+                                       task.m_phase == task_phase::sent ||
                                        task.m_phase == task_phase::unknown ||
                                        task.m_phase == task_phase::done;
                             });
@@ -213,6 +228,8 @@
 {
     ++m_retries;
     ++work.m_tasks[number].m_retries;
+    // The earlier attempt may still be running somewhere and hold a slot there.
+    rename(work.m_origin, new_origin(true));
     enqueue(with, work, number, no_node);
 }
 
@@ -252,6 +269,7 @@
     if (link == m_agents.end())
         return;
     link->second.m_is_connected = false;
+    link->second.m_has_announced = false;
     abandon_link(with, peer);
 }
 
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -14,13 +14,27 @@
 // does not come.
 constexpr auto answer_grace = std::chrono::milliseconds{500};
 constexpr auto operation_timeout = std::chrono::seconds{10};
-// Pause before another try after a replica said that it does not lead.
-constexpr auto leader_retry = std::chrono::milliseconds{50};
+// Pause before another try after a replica said that it does not lead; doubles
+// up to the limit.
+constexpr auto leader_retry = std::chrono::milliseconds{25};
+constexpr auto leader_retry_limit = std::chrono::milliseconds{400};
 // A job without a deadline may wait this long for its whole answer.
 constexpr auto job_timeout = std::chrono::hours{24};
 // Longest time without a leader in a failover, as a delay before a resend.
 constexpr auto failover_ms = std::uint32_t{2000};
 
+/// A refusal by an entry that does not know what leaders know. A submission
+/// with a key may be a resend of one that ran, unless the client says that it
+/// is the first.
+auto unaware(submission const& work, reason why, std::string_view detail,
+             std::uint32_t retry_after_ms) -> verdict
+{
+    auto outcome = refused(why, detail, retry_after_ms);
+    if (!work.m_key.empty() && !work.m_is_first)
+        outcome.m_run = run_state::may_have_run;
+    return outcome;
+}
+
 } // namespace
 
 auto entry::connected(hello const& peer) -> void
@@ -51,13 +65,16 @@
     else if (auto const* refusal = std::get_if<not_leader>(&incoming))
     {
         on(*refusal);
-        m_retry_at = std::min(m_retry_at, now + leader_retry);
+        m_retry_delay =
+            std::min<duration>(m_retry_delay * 2, leader_retry_limit);
+        m_retry_at = std::min(m_retry_at, now + m_retry_delay);
     }
     else if (auto const* change = std::get_if<configuration_changed>(&incoming))
         follow(now, from, *change, out);
     else if (auto const* grant = std::get_if<renewed>(&incoming))
     {
         m_lease.extend(from, *grant);
+        m_retry_delay = leader_retry;
         forward(now, out);
     }
 }
@@ -66,17 +83,17 @@
     -> std::optional<verdict>
 {
     if (m_is_stopping)
-        return refused(reason::draining, {}, 1);
+        return unaware(work, reason::draining, {}, 1);
     if (!m_lease.is_valid(now))
-        return refused(reason::lease_expired,
+        return unaware(work, reason::lease_expired,
                        "this entry has no current configuration", failover_ms);
-    if (find_customer(m_lease.config(), work.m_customer) == nullptr)
-        return refused(reason::unknown_customer, work.m_customer);
     if (work.m_kind == submission_kind::job)
         return std::nullopt;
+    if (find_customer(m_lease.config(), work.m_customer) == nullptr)
+        return unaware(work, reason::unknown_customer, work.m_customer, 0);
     auto const* target = find_service(m_lease.config(), work.m_service);
     if (target == nullptr)
-        return refused(reason::unknown_service, work.m_service);
+        return unaware(work, reason::unknown_service, work.m_service, 0);
     if (is_idempotent(*target, work.m_path))
         return std::nullopt;
     if (work.m_key.empty())
@@ -87,6 +104,14 @@
     return std::nullopt;
 }
 
+auto entry::is_durable(submission const& work) const -> bool
+{
+    if (work.m_kind == submission_kind::job)
+        return true;
+    auto const* target = find_service(m_lease.config(), work.m_service);
+    return target == nullptr || !is_idempotent(*target, work.m_path);
+}
+
 auto entry::arrived(time_point now, request_arrived const& request,
                     random_source& random, effects& out) -> void
 {
@@ -98,7 +123,7 @@
             reply{request.m_exchange, work.m_kind, *why, {}, span});
         out.emplace_back(observe_metric{
             "hickorylatch_refusals_total",
-            {{"verdict", "not_run"},
+            {{"verdict", std::string{to_string(why->m_run)}},
              {"reason", std::string{to_string(why->m_reason)}}}});
         return;
     }
@@ -109,6 +134,7 @@
     pending.m_parent_span = work.m_trace.m_span;
     pending.m_submission.m_trace = span;
     pending.m_arrived = now;
+    pending.m_is_durable = is_durable(work);
     if (work.m_kind == submission_kind::request && work.m_deadline_ms == 0)
         pending.m_submission.m_deadline_ms =
             find_service(m_lease.config(), work.m_service)
@@ -120,7 +146,8 @@
     m_exchanges[request.m_exchange] = sequence;
     m_deadlines.emplace(pending.m_deadline, sequence);
     m_unsent.insert(sequence);
-    forward(now, out);
+    if (m_retry_at == never)
+        forward(now, out);
 }
 
 auto entry::arrived(time_point now, operator_arrived const& request,
@@ -148,7 +175,7 @@
     auto const request = m_requests.find(sequence);
     if (request == m_requests.end())
         return;
-    if (request->second.m_was_sent && m_lease.leader() != no_node)
+    if (request->second.m_sends != 0 && m_lease.leader() != no_node)
         out.emplace_back(send{m_lease.leader(), cancel{sequence}});
     m_requests.erase(request);
 }
@@ -162,12 +189,13 @@
         if (auto const request = m_requests.find(sequence);
             request != m_requests.end())
         {
-            auto const was_sent = request->second.m_was_sent;
+            auto const was_sent = request->second.m_sends != 0;
             if (was_sent && m_lease.leader() != no_node)
                 out.emplace_back(send{m_lease.leader(), cancel{sequence}});
             finish(now, sequence,
                    was_sent ? uncertain(reason::deadline)
-                            : refused(reason::deadline),
+                            : unaware(request->second.m_submission,
+                                      reason::deadline, {}, 0),
                    {}, out);
         }
         if (auto const found = m_operations.find(sequence);
@@ -252,8 +280,9 @@
 auto entry::forward(time_point now, std::uint64_t sequence,
                     pending_request& request, effects& out) -> void
 {
-    request.m_was_sent = true;
-    auto message = submit{sequence, request.m_submission, now};
+    ++request.m_sends;
+    auto message = submit{sequence, request.m_submission, now, m_lease.term(),
+                          request.m_sends};
     if (request.m_submission.m_deadline_ms != 0)
     {
         // Only the time that is left counts for the leader.
@@ -270,8 +299,19 @@
                effects& out) -> void
 {
     m_lease.extend(from, result.m_renewed);
-    if (m_requests.contains(result.m_sequence))
-        finish(now, result.m_sequence, result.m_verdict, result.m_answers, out);
+    if (auto const found = m_requests.find(result.m_sequence);
+        found != m_requests.end())
+    {
+        auto outcome = result.m_verdict;
+        // A leader knows only what it started itself of a request that is not
+        // committed; an earlier send of it may have run.
+        auto const is_alone =
+            found->second.m_is_durable || found->second.m_sends == 1;
+        if (outcome.m_run == run_state::not_run && !is_alone)
+            outcome.m_run = run_state::may_have_run;
+        finish(now, result.m_sequence, std::move(outcome), result.m_answers,
+               out);
+    }
     else
         out.emplace_back(observe_metric{"hickorylatch_wasted_messages_total",
                                         {{"kind", "late_answer"}}});
@@ -289,6 +329,10 @@
 
 auto entry::on(not_leader const& refusal) -> void
 {
+    auto const found = m_requests.find(refusal.m_sequence);
+    // An answer to an earlier copy says nothing of the one on its way.
+    if (found != m_requests.end() && found->second.m_sends != refusal.m_copy)
+        return;
     m_unsent.insert(refusal.m_sequence);
 }
 
@@ -301,6 +345,7 @@
         disconnected(m_lease.leader());
     if (!m_lease.follow(from, change.m_term, change.m_configuration))
         return;
+    m_retry_delay = leader_retry;
     m_lease.tick(now, out);
     forward(now, out);
 }
--- a/src/core/entry.hpp
+++ b/src/core/entry.hpp
@@ -48,8 +48,11 @@
         std::string m_parent_span;
         time_point m_arrived{0};
         time_point m_deadline = never;
-        /// A leader may have taken it.
-        bool m_was_sent = false;
+        /// How often a leader may have taken it.
+        unsigned m_sends = 0;
+        /// Its acceptance is committed before it runs, so that each leader
+        /// knows of it.
+        bool m_is_durable = false;
     };
 
     struct pending_operation
@@ -62,6 +65,7 @@
 
     [[nodiscard]] auto refusal(time_point now, submission const& work) const
         -> std::optional<verdict>;
+    [[nodiscard]] auto is_durable(submission const& work) const -> bool;
     /// Sends what the present leader does not have yet.
     auto forward(time_point now, effects& out) -> void;
     auto forward(time_point now, std::uint64_t sequence,
@@ -85,6 +89,7 @@
     /// Deadlines of requests and operations, by sequence number.
     std::multimap<time_point, std::uint64_t> m_deadlines;
     time_point m_retry_at = never;
+    duration m_retry_delay{0};
     bool m_is_stopping = false;
 };
 
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -66,8 +66,15 @@
     submission m_submission;
     /// Send time by the entry's clock; asks for a longer lease.
     time_point m_sent_at{0};
+    /// Term of the leader that it is meant for. A copy that arrives in another
+    /// term is not taken: the entry may have told its caller since then that
+    /// it did not run.
+    term_number m_term = 0;
+    /// Counts the copies of this submission, from 1.
+    std::uint32_t m_copy = 0;
 };
-BOOST_DESCRIBE_STRUCT(submit, (), (m_sequence, m_submission, m_sent_at))
+BOOST_DESCRIBE_STRUCT(submit, (),
+                      (m_sequence, m_submission, m_sent_at, m_term, m_copy))
 
 /// The caller no longer waits.
 struct cancel
@@ -92,8 +99,10 @@
 {
     std::uint64_t m_sequence = 0;
     node_id m_leader = no_node;
+    /// Copy of the submission that it answers; 0 for an operation.
+    std::uint32_t m_copy = 0;
 };
-BOOST_DESCRIBE_STRUCT(not_leader, (), (m_sequence, m_leader))
+BOOST_DESCRIBE_STRUCT(not_leader, (), (m_sequence, m_leader, m_copy))
 
 // Operators.
 
--- a/src/core/submission.hpp
+++ b/src/core/submission.hpp
@@ -69,12 +69,14 @@
     /// Unknown optional fields of the record as JSON text, passed on as is.
     std::string m_extra;
     trace_context m_trace;
+    /// The client states that it never submitted this key before.
+    bool m_is_first = false;
 };
 BOOST_DESCRIBE_STRUCT(submission, (),
                       (m_kind, m_schema_version, m_service, m_path, m_customer,
                        m_key, m_submitted_at, m_digest, m_deadline_ms,
-                       m_priority, m_account_manager, m_tasks, m_extra,
-                       m_trace))
+                       m_priority, m_account_manager, m_tasks, m_extra, m_trace,
+                       m_is_first))
 
 /// One task's answer.
 struct task_answer
--- a/src/process/http_api.cpp
+++ b/src/process/http_api.cpp
@@ -81,6 +81,9 @@
     BOOST_LEAF_ASSIGN(work.m_deadline_ms,
                       read_number<std::uint32_t>(request.m_headers,
                                                  "Hickorylatch-Deadline-Ms"));
+    work.m_is_first =
+        net::find_header(request.m_headers, "Hickorylatch-First-Submission") ==
+        "true";
     if (auto const header = net::find_header(request.m_headers, "traceparent"))
         work.m_trace =
             core::parse_traceparent(*header).value_or(core::trace_context{});
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -136,6 +136,9 @@
         [&]() -> boost::leaf::result<void>
         {
             BOOST_LEAF_AUTO(work, settings::parse_job_record(request.m_body));
+            work.m_is_first =
+                net::find_header(request.m_headers,
+                                 "Hickorylatch-First-Submission") == "true";
             auto const exchange =
                 add_exchange(server, request.m_exchange, work.m_schema_version);
             feed(core::request_arrived{exchange, std::move(work), 0});
--- a/tests/core/fake_system.cpp
+++ b/tests/core/fake_system.cpp
@@ -274,6 +274,7 @@
 {
     auto& born = m_processes.at(name);
     ++born.m_life;
+    born.m_is_frozen = false;
     born.m_node = born.m_make();
     feed(name, core::clock_read{1'000'000});
     feed(name, core::started{m_random()});
