--- a/src/storage/benchmark_command.cpp
+++ b/src/storage/benchmark_command.cpp
@@ -119,32 +119,25 @@
                         {"ratio", grouped.rate() / single.rate()}};
 }
 
-/// One caller with and without reserved space, which take turns.
-[[nodiscard]] auto compare_preallocation(benchmark_request const& request)
+[[nodiscard]] auto sync_times(benchmark_request const& request)
     -> boost::leaf::result<json::object>
 {
-    auto reserved = round_collector{};
-    auto growing = round_collector{};
-    for (auto round = std::size_t{0}; round < request.m_rounds; ++round)
-    {
-        for (auto* const collector : {&reserved, &growing})
-        {
-            auto options = request.m_options;
-            options.m_preallocate = collector == &reserved;
-            BOOST_LEAF_AUTO(figures, in_fresh_folder(request.m_folder,
-                                                     [&](fs::path const& folder)
-                                                     {
-                                                         return measure_commit(
-                                                             folder, options,
-                                                             request.m_load, 1,
-                                                             1, 1);
-                                                     }));
-            collector->add(figures);
-        }
-    }
-    return json::object{{"reserved", reserved.to_json()},
-                        {"growing", growing.to_json()},
-                        {"ratio", reserved.rate() / growing.rate()}};
+    constexpr auto writes = std::size_t{1000};
+    BOOST_LEAF_AUTO(figures, in_fresh_folder(request.m_folder,
+                                             [&](fs::path const& folder)
+                                             {
+                                                 fs::create_directory(folder);
+                                                 return measure_sync(
+                                                     folder, request.m_options,
+                                                     writes);
+                                             }));
+    return json::object{
+        {"writes", writes},
+        {"reserved_p50_us", figures.m_reserved_p50_us},
+        {"reserved_mean_us", figures.m_reserved_mean_us},
+        {"growing_p50_us", figures.m_growing_p50_us},
+        {"growing_mean_us", figures.m_growing_mean_us},
+        {"mean_ratio", figures.m_growing_mean_us / figures.m_reserved_mean_us}};
 }
 
 [[nodiscard]] auto log_sizes(std::size_t body_bytes) -> json::object
@@ -163,8 +156,7 @@
 [[nodiscard]] auto measure(benchmark_request const& request)
     -> boost::leaf::result<json::object>
 {
-    BOOST_LEAF_AUTO(sync_us, measure_sync(request.m_folder, request.m_options));
-    fs::remove(request.m_folder / "sync-probe");
+    BOOST_LEAF_AUTO(syncs, sync_times(request));
     auto commits = json::array{};
     for (auto const tasks : task_counts)
     {
@@ -174,16 +166,14 @@
             commits.push_back(std::move(compared));
         }
     }
-    BOOST_LEAF_AUTO(preallocation, compare_preallocation(request));
     auto const delay = request.m_options.m_sync_delay;
     auto measured =
         json::object{{"simulated_sync_delay_ms",
                       std::chrono::duration<double, std::milli>{delay}.count()},
-                     {"sync_us", sync_us},
+                     {"sync", std::move(syncs)},
                      {"rounds", request.m_rounds},
                      {"round_ms", request.m_load.m_duration.count()},
                      {"commits", std::move(commits)},
-                     {"preallocation", std::move(preallocation)},
                      {"log", log_sizes(request.m_load.m_body_bytes)}};
     if (!request.m_with_recovery)
         return measured;
--- a/src/storage/commit_benchmark.cpp
+++ b/src/storage/commit_benchmark.cpp
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <numeric>
 #include <string>
 #include <thread>
 #include <utility>
@@ -187,20 +189,35 @@
     return figures;
 }
 
-auto measure_sync(fs::path const& folder, storage_options const& options)
-    -> boost::leaf::result<double>
+auto measure_sync(fs::path const& folder, storage_options const& options,
+                  std::size_t writes) -> boost::leaf::result<sync_figures>
 {
-    constexpr auto rounds = 200U;
     auto const bytes = std::string(512, 'x');
-    BOOST_LEAF_AUTO(opened,
-                    file::open(folder / "sync-probe", O_RDWR | O_CREAT));
-    auto const start = clock::now();
-    for (auto round = 0U; round < rounds; ++round)
+    auto const flags = O_RDWR | O_CREAT | O_TRUNC;
+    BOOST_LEAF_AUTO(reserved, file::open(folder / "reserved", flags));
+    BOOST_LEAF_CHECK(reserved.preallocate(writes * bytes.size()));
+    BOOST_LEAF_AUTO(growing, file::open(folder / "growing", flags));
+    auto times = std::array<std::vector<double>, 2>{};
+    for (auto write = std::size_t{0}; write < writes; ++write)
     {
-        BOOST_LEAF_CHECK(opened.write(round * bytes.size(), bytes));
-        BOOST_LEAF_CHECK(opened.sync_data(options));
+        for (auto* const each : {&reserved, &growing})
+        {
+            auto const start = clock::now();
+            BOOST_LEAF_CHECK(each->write(write * bytes.size(), bytes));
+            BOOST_LEAF_CHECK(each->sync_data(options));
+            times[each == &reserved ? 0 : 1].push_back(
+                microseconds{clock::now() - start}.count());
+        }
     }
-    return microseconds{clock::now() - start}.count() / rounds;
+    auto const mean = [](std::vector<double> const& values)
+    {
+        return std::accumulate(values.begin(), values.end(), 0.0) /
+               static_cast<double>(values.size());
+    };
+    for (auto& each : times)
+        std::ranges::sort(each);
+    return sync_figures{quantile(times[0], 0.5), mean(times[0]),
+                        quantile(times[1], 0.5), mean(times[1])};
 }
 
 } // namespace hickorylatch::storage
--- a/src/storage/commit_benchmark.hpp
+++ b/src/storage/commit_benchmark.hpp
@@ -66,10 +66,23 @@
                                     benchmark_load const& load)
     -> boost::leaf::result<recovery_figures>;
 
-/// Mean time of a sync after a write of 512 bytes, in microseconds.
+/// Time of a sync after a write of 512 bytes at the end of a file, in
+/// microseconds.
+struct sync_figures
+{
+    /// Median and mean in a file whose space was reserved.
+    double m_reserved_p50_us = 0;
+    double m_reserved_mean_us = 0;
+    /// Median and mean in a file that grows with each write.
+    double m_growing_p50_us = 0;
+    double m_growing_mean_us = 0;
+};
+
+/// Both files take turns, so that a change of the machine's load meets both.
 [[nodiscard]] auto measure_sync(std::filesystem::path const& folder,
-                                storage_options const& options)
-    -> boost::leaf::result<double>;
+                                storage_options const& options,
+                                std::size_t writes)
+    -> boost::leaf::result<sync_figures>;
 
 } // namespace hickorylatch::storage
 
