--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -226,7 +226,7 @@
 }
 
 #ifdef NO_LEASE
-#define MAY_SERVE true
+#define MAY_SERVE (lease_age <= LIMIT)
 #else
 #define MAY_SERVE (has_lease && lease_age <= LEASE)
 #endif
--- a/src/storage/data_folder.hpp
+++ b/src/storage/data_folder.hpp
@@ -27,7 +27,8 @@
 
 /// The durable state of one control replica: identity, hard state, log and
 /// snapshots. All calls block and come from one thread at a time. Errors are
-/// `storage_error` and fatal: after one, every later call fails too.
+/// `storage_error`. A failed write or sync is fatal: every later call fails
+/// too. Writes that do not continue the log are refused as a whole.
 class data_folder
 {
 public:
