Announce on every new link to a leader

Cause: after a link was replaced an agent could take the welcome for its old announcement as the answer to the new link and never announce again, so the leader withheld its starts.

--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -31,10 +31,12 @@
     // The leader speaks first. Its configuration on a new link is answered by
     // an announcement, since messages of the old link may be lost.
     m_lease.lose_leader(peer.m_node);
+    m_unannounced.insert(peer.m_node);
 }
 
 auto agent::disconnected(node_id peer) -> void
 {
+    m_unannounced.erase(peer);
     m_lease.lose_leader(peer);
 }
 
@@ -86,7 +88,8 @@
         m_lease.leader() != from || m_lease.term() != change.m_term;
     if (!m_lease.follow(from, change.m_term, change.m_configuration))
         return;
-    if (is_new)
+    auto const is_new_link = m_unannounced.erase(from) != 0;
+    if (is_new || is_new_link)
         announce_to(now, from, out);
 }
 
--- a/src/core/agent.hpp
+++ b/src/core/agent.hpp
@@ -72,6 +72,8 @@
     std::map<attempt_id, kept_result> m_finished;
     /// Committed attempts that must never start here.
     std::set<attempt_id> m_refused;
+    /// Peers with a new link on which nothing was announced yet.
+    std::set<node_id> m_unannounced;
     bool m_is_stopping = false;
     time_point m_stop_at = never;
 };
--- a/tests/core/fake_system.cpp
+++ b/tests/core/fake_system.cpp
@@ -177,8 +177,16 @@
 auto fake_system::break_link(std::string const& one, std::string const& other)
     -> void
 {
-    ++m_links[std::minmax(one, other)];
+    auto const pair =
+        std::pair<std::string, std::string>{std::minmax(one, other)};
+    ++m_links[pair];
     link(one, other, false);
+    // What is sent before the new link is up is lost too.
+    m_agenda.emplace(m_now + link_notice,
+                     [this, pair]
+                     {
+                         ++m_links[pair];
+                     });
     link(one, other, true);
 }
 
