--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -20,26 +20,36 @@
  * leaves out only a first leader 2 and a split vote in term 1; term 2 is open
  * to all.
  *
- * With FIXED, no disk is lost and the membership does not change; this leaves
- * room for more terms. With ALTERNATE also, only nodes 0 and 1 stand for
- * election, in turn.
+ * options: -O3 -DNOREDUCE
  *
- * Each macro below breaks one rule:
- *
- *   ACK_BEFORE_SYNC       entries are acknowledged before they are synced
- *   COUNT_BEFORE_SYNC     the leader counts its own entries before its sync
- *   VOTE_BEFORE_SYNC      a vote is answered before it is synced
- *   NO_LOG_CHECK          a vote is given whatever the candidate's log
- *   COMMIT_OLD_TERM       entries of earlier terms are committed by counting
- *   KEEP_IDENTITY         an emptied disk keeps its identity
- *   REPLACE_AT_ONCE       two voters change in one step
- *   UNCOMMITTED_CHANGE    a change may follow one that is not committed
+ * variant: none               pass     two terms, lost disks and changes
+ * variant: FIXED              pass     three terms, no lost disk, no change
+ * variant: ALTERNATE          pass     FIXED, four terms, nodes 0 and 1 stand
+ *                                      for election in turn
+ * variant: ACK_BEFORE_SYNC    refuted  acknowledges before the sync
+ * variant: COUNT_BEFORE_SYNC  refuted  the leader counts unsynced entries
+ * variant: VOTE_BEFORE_SYNC   refuted  answers a vote before the sync
+ * variant: NO_LOG_CHECK       refuted  votes whatever the candidate's log
+ * variant: KEEP_IDENTITY      refuted  an emptied disk keeps its identity
+ * variant: REPLACE_AT_ONCE    refuted  two voters change in one step
+ * variant: UNCOMMITTED_CHANGE refuted  a change follows an uncommitted one
+ * variant: COMMIT_OLD_TERM    refuted  ALTERNATE, commits entries of earlier
+ *                                      terms by counting
  */
 
-#ifndef TERMS
-#define TERMS 3
+/* An entry of an earlier term is lost only over four terms. */
+#ifdef COMMIT_OLD_TERM
+#define ALTERNATE
 #endif
-#ifndef LENGTH
+#ifdef ALTERNATE
+#define FIXED
+#define TERMS 4
+#define LENGTH 2
+#elif defined(FIXED)
+#define TERMS 3
+#define LENGTH 3
+#else
+#define TERMS 2
 #define LENGTH 4
 #endif
 #define NODES 4
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -33,6 +33,8 @@
                         random_source& random, effects& out) -> void
 {
     m_peers[peer.m_node] = peer;
+    if (m_coordinator)
+        m_coordinator->connected(peer.m_node);
     auto const with = context(now, random, out);
     auto const members = m_replica.members();
     auto const is_blank_member =
@@ -98,16 +100,22 @@
     auto const* dropped = std::get_if<cancel>(&incoming);
     if (request == nullptr && asked == nullptr && dropped == nullptr)
         return false;
-    if (!is_leading(with.m_now))
+    if (request != nullptr)
     {
-        auto const sequence = request != nullptr ? request->m_sequence
-                              : asked != nullptr ? asked->m_sequence
-                                                 : 0;
-        with.m_out.emplace_back(
-            send{from, not_leader{sequence, m_replica.leader()}});
+        auto const is_taken = is_leading(with.m_now) &&
+                              request->m_term == m_replica.term() &&
+                              m_coordinator->submit(with, from, *request);
+        if (!is_taken)
+            with.m_out.emplace_back(
+                send{from, not_leader{request->m_sequence, m_replica.leader(),
+                                      request->m_copy}});
+    }
+    else if (!is_leading(with.m_now))
+    {
+        if (asked != nullptr)
+            with.m_out.emplace_back(send{
+                from, not_leader{asked->m_sequence, m_replica.leader(), 0}});
     }
-    else if (request != nullptr)
-        m_coordinator->submit(with, from, *request);
     else if (dropped != nullptr)
         m_coordinator->cancel(with, from, *dropped);
     else
@@ -168,17 +176,23 @@
         return;
     }
     auto const is_pending = m_operators.contains(request_id);
+    auto const* members = std::get_if<change_membership>(&change);
+    if (members != nullptr && !is_pending)
+    {
+        auto const why = m_replica.check_members(members->m_members);
+        if (!why.empty())
+        {
+            answer_operator(with.m_out, who,
+                            {0,
+                             refused(reason::version_conflict, why),
+                             m_state.config().m_version,
+                             {}});
+            return;
+        }
+    }
     m_operators.emplace(request_id, who);
-    if (is_pending || m_replica.propose(std::move(change)))
-        return;
-    m_operators.erase(request_id);
-    answer_operator(with.m_out, who,
-                    {0,
-                     refused(reason::version_conflict,
-                             "another change of the membership is in progress, "
-                             "or this one changes more than one voter"),
-                     m_state.config().m_version,
-                     {}});
+    if (!is_pending)
+        m_replica.propose(std::move(change));
 }
 
 auto control::found(control_context const& with, operator_wait who,
@@ -239,9 +253,22 @@
     m_replica.snapshot_saved(done.m_last_index);
 }
 
-auto control::clock(clock_read const& reading) -> void
+auto control::clock(time_point now, clock_read const& reading, effects& out)
+    -> void
 {
     m_wall = reading.m_now;
+    out.emplace_back(observe_metric{
+        "hickorylatch_is_leader", {}, is_leading(now) ? 1.0 : 0.0});
+    out.emplace_back(
+        observe_metric{"hickorylatch_configuration_version",
+                       {},
+                       static_cast<double>(m_state.config().m_version)});
+}
+
+auto control::stop(time_point now, random_source& random, effects& out) -> void
+{
+    m_replica.hand_over(now, out);
+    settle(context(now, random, out));
 }
 
 auto control::tick(time_point now, random_source& random, effects& out) -> void
@@ -304,10 +331,6 @@
                 send{node, configuration_changed{m_replica.term(),
                                                  m_state.config()}});
     }
-    with.m_out.emplace_back(
-        observe_metric{"hickorylatch_configuration_version",
-                       {},
-                       static_cast<double>(m_state.config().m_version)});
 }
 
 auto control::follow_leadership(control_context const& with) -> void
@@ -347,6 +370,11 @@
     return m_replica.identity();
 }
 
+auto control::address() const -> std::string const&
+{
+    return m_address;
+}
+
 auto control::cluster() const -> std::uint64_t
 {
     return m_replica.cluster();
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -46,6 +46,9 @@
     agent_info m_info;
     time_point m_heard_at{0};
     bool m_is_connected = true;
+    /// It announced itself on its present link. Before that, what it was sent
+    /// on an earlier link is not known to have arrived.
+    bool m_has_announced = false;
     time_point m_last_sent_at{0};
     std::vector<attempt_id> m_to_forget;
     time_point m_forgot_at{0};
@@ -70,12 +73,15 @@
 public:
     coordinator(control_settings const& settings, control_context const& with);
 
+    /// False if it can't be taken yet and nothing was done with it.
     auto submit(control_context const& with, node_id from,
-                core::submit const& request) -> void;
+                core::submit const& request) -> bool;
     auto cancel(control_context const& with, node_id from,
                 core::cancel const& request) -> void;
     auto cancel_job(control_context const& with, core::cancel_job const& order)
         -> verdict;
+    /// A link to this process is new; messages on an older one may be lost.
+    auto connected(node_id peer) -> void;
     auto announced(control_context const& with, announce const& news) -> void;
     auto finished(control_context const& with, node_id from,
                   core::finished const& outcome) -> void;
@@ -96,6 +102,13 @@
                              time_point sent_at) const -> core::renewed;
 
 private:
+    /// An attempt of an earlier leader whose caller may ask again.
+    struct orphan
+    {
+        attempt_id m_attempt;
+        node_id m_agent = no_node;
+    };
+
     using key_of = std::pair<std::string, std::string>;
 
     auto recover(control_context const& with) -> void;
@@ -107,6 +120,9 @@
         -> std::optional<verdict>;
     auto add_live(control_context const& with, core::submit const& request,
                   waiter const& who, bool is_volatile) -> live_submission&;
+    /// Joins a request that is not running to an attempt of an earlier leader.
+    auto adopt(origin_id origin, orphan const& running) -> void;
+    auto take_orphans(announce const& news) -> void;
     auto accept_job(control_context const& with, live_submission& work) -> void;
     /// Queues a task, for one agent or for any. False if that ended the work.
     auto enqueue(control_context const& with, live_submission& work,
@@ -127,6 +143,8 @@
     auto task_lost(control_context const& with, attempt_id attempt) -> void;
     [[nodiscard]] auto may_retry(live_submission const& work,
                                  std::uint32_t task) const -> bool;
+    [[nodiscard]] auto new_origin(bool is_volatile) -> origin_id;
+    auto rename(origin_id from, origin_id to) -> void;
     auto retry(control_context const& with, live_submission& work,
                std::uint32_t task) -> void;
     auto end(control_context const& with, live_submission& work,
@@ -150,6 +168,8 @@
     auto flush_forget(control_context const& with, agent_link& link) -> void;
     auto move_waiting(control_context const& with) -> void;
     auto expire(control_context const& with) -> void;
+    auto expire_keys(control_context const& with) -> void;
+    auto report_load(control_context const& with) -> void;
 
     control_settings m_settings;
     term_number m_term = 0;
@@ -159,6 +179,7 @@
     std::map<origin_id, live_submission> m_live;
     std::map<key_of, origin_id> m_keys;
     std::map<std::pair<node_id, std::uint64_t>, origin_id> m_waiting;
+    std::map<caller_ref, orphan> m_orphans;
     /// Agents named by committed allotments that have not announced yet.
     std::set<node_id> m_expected;
     time_point m_began{0};
@@ -166,6 +187,7 @@
     std::uint64_t m_retries = 0;
     time_point m_next_tick{0};
     time_point m_next_expiry{0};
+    time_point m_next_report{0};
 };
 
 } // namespace hickorylatch::core
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds{20};
 constexpr auto expiry_interval = std::chrono::seconds{60};
+constexpr auto report_interval = std::chrono::seconds{1};
 // Retries allowed before the share of first starts begins to count.
 constexpr auto retry_allowance = std::uint64_t{10};
 // A task refused by this many agents fails its submission.
@@ -39,6 +40,12 @@
 
 } // namespace
 
+auto coordinator::connected(node_id peer) -> void
+{
+    if (auto const link = m_agents.find(peer); link != m_agents.end())
+        link->second.m_has_announced = false;
+}
+
 auto coordinator::announced(control_context const& with, announce const& news)
     -> void
 {
@@ -48,6 +55,7 @@
     link.m_heard_at = with.m_now;
     link.m_is_connected = true;
     link.m_last_sent_at = news.m_sent_at;
+    auto const is_new_link = !std::exchange(link.m_has_announced, true);
     m_expected.erase(node);
     m_dispatcher.add_agent(with.m_now, news.m_agent, news.m_running);
     auto greeting = welcome{};
@@ -56,6 +64,10 @@
     auto const members = with.m_replica.members();
     greeting.m_members.assign(members.begin(), members.end());
     with.m_out.emplace_back(send{node, std::move(greeting)});
+    // On a known link, starts may be on their way to the agent.
+    if (!is_new_link)
+        return;
+    take_orphans(news);
     resolve_unknown(with, news);
 }
 
@@ -91,8 +103,12 @@
         if (found == m_live.end() || found->second.m_has_ended)
             continue;
         m_dispatcher.finish(with.m_now, attempt, attempt_outcome::not_run);
-        auto const bound = is_volatile(attempt) ? no_node : news.m_agent.m_node;
-        enqueue(with, found->second, attempt.m_task, bound);
+        // Results of requests that are not committed are not kept, so one of
+        // these may have run.
+        if (is_volatile(attempt))
+            task_lost(with, attempt);
+        else
+            enqueue(with, found->second, attempt.m_task, news.m_agent.m_node);
     }
 }
 
@@ -188,7 +204,8 @@
         std::ranges::any_of(work.m_tasks,
                             [](live_task const& task)
                             {
-                                return task.m_phase == task_phase::sent ||
+                                return task.m_retries != 0 ||
+                                       task.m_phase == task_phase::sent ||
                                        task.m_phase == task_phase::unknown ||
                                        task.m_phase == task_phase::done;
                             });
@@ -211,6 +228,8 @@
 {
     ++m_retries;
     ++work.m_tasks[number].m_retries;
+    // The earlier attempt may still be running somewhere and hold a slot there.
+    rename(work.m_origin, new_origin(true));
     enqueue(with, work, number, no_node);
 }
 
@@ -250,6 +269,7 @@
     if (link == m_agents.end())
         return;
     link->second.m_is_connected = false;
+    link->second.m_has_announced = false;
     abandon_link(with, peer);
 }
 
@@ -343,6 +363,8 @@
         return;
     m_next_tick = with.m_now + tick_interval;
     expire(with);
+    expire_keys(with);
+    report_load(with);
     check_agents(with);
     move_waiting(with);
     for (auto& [node, link] : m_agents)
@@ -357,13 +379,41 @@
         if (found != m_live.end())
             fail(with, found->second, reason::deadline, {});
     }
+}
+
+auto coordinator::expire_keys(control_context const& with) -> void
+{
     if (with.m_now < m_next_expiry)
         return;
     m_next_expiry = with.m_now + expiry_interval;
+    // Callers that did not come back by now have given up.
+    if (with.m_now > m_began + expiry_interval)
+        m_orphans.clear();
     auto const before = with.m_wall - m_settings.m_key_retention_ms;
     auto const oldest = with.m_state.oldest_end();
     if (oldest != 0 && oldest < before)
-        with.m_replica.propose(expire_keys{before});
+        with.m_replica.propose(core::expire_keys{before});
+}
+
+auto coordinator::report_load(control_context const& with) -> void
+{
+    if (with.m_now < m_next_report)
+        return;
+    m_next_report = with.m_now + report_interval;
+    auto const report = [&](std::string const& service)
+    {
+        with.m_out.emplace_back(
+            observe_metric{"hickorylatch_queued",
+                           {{"service", service}},
+                           static_cast<double>(m_dispatcher.queued(service))});
+        with.m_out.emplace_back(
+            observe_metric{"hickorylatch_running",
+                           {{"service", service}},
+                           static_cast<double>(m_dispatcher.running(service))});
+    };
+    report(std::string{worker_service});
+    for (auto const& each : with.m_state.config().m_services)
+        report(each.m_name);
 }
 
 auto coordinator::move_waiting(control_context const& with) -> void
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -74,9 +74,12 @@
     evhttp_connection_get_peer(connection, &host, &port);
     if (host == nullptr)
         return {};
-    auto const text = std::string{host};
-    auto const is_v6 = text.find(':') != std::string::npos;
-    return (is_v6 ? "[" + text + "]" : text) + ":" + std::to_string(port);
+    auto const is_v6 =
+        std::string_view{host}.find(':') != std::string_view::npos;
+    auto text = std::string{is_v6 ? "[" : ""};
+    text += host;
+    text += is_v6 ? "]:" : ":";
+    return text + std::to_string(port);
 }
 
 auto to_request(evhttp_request* source) -> http_request
@@ -197,6 +200,14 @@
     // The server owns the listener from here on.
     static_cast<void>(listener.release());
     m_listeners.push_back(bound);
+    // Accepting fails when the process has no file descriptor left; trying
+    // again at once would keep the loop busy. The next check enables it.
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(bound),
+                                [](evconnlistener* failed, void*)
+                                {
+                                    evconnlistener_disable(failed);
+                                });
+    m_pending_check.start(pending_check_interval);
     return port;
 }
 
@@ -223,6 +234,15 @@
         evhttp_add_header(output, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
                  body.size());
+    auto const sent = [](evhttp_request* done, void* self)
+    {
+        static_cast<http_server*>(self)->answer_sent(
+            evhttp_request_get_connection(done));
+    };
+    evhttp_request_set_on_complete_cb(request, sent, this);
+    m_connections.at(evhttp_request_get_connection(request)).m_is_sending =
+        true;
+    ++m_sending;
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
@@ -241,6 +261,8 @@
     if (!raw_bytes.empty())
         ::send(socket, raw_bytes.data(), raw_bytes.size(), MSG_NOSIGNAL);
     evhttp_connection_free(connection);
+    if (is_idle())
+        m_became_idle.emit();
 }
 
 auto http_server::open_exchanges() const -> std::size_t
@@ -253,6 +275,16 @@
     return m_connections.size() + m_pending.size();
 }
 
+auto http_server::is_idle() const -> bool
+{
+    return m_exchanges.empty() && m_sending == 0;
+}
+
+auto http_server::became_idle() -> sigc::signal<void()>&
+{
+    return m_became_idle;
+}
+
 auto http_server::exchange_abandoned() -> sigc::signal<void(core::exchange_id)>&
 {
     return m_exchange_abandoned;
@@ -269,8 +301,6 @@
     pending.m_connection.reset(connection);
     pending.m_deadline = m_loop.now() + m_settings.m_read_timeout;
     m_pending.push_back(std::move(pending));
-    if (!m_pending_check.is_running())
-        m_pending_check.start(pending_check_interval);
     update_listeners();
     return connection;
 }
@@ -333,11 +363,23 @@
         this);
 }
 
+auto http_server::answer_sent(evhttp_connection* connection) -> void
+{
+    auto const found = m_connections.find(connection);
+    if (found == m_connections.end() ||
+        !std::exchange(found->second.m_is_sending, false))
+        return;
+    --m_sending;
+    if (is_idle())
+        m_became_idle.emit();
+}
+
 auto http_server::connection_closed(evhttp_connection* connection) -> void
 {
     auto const found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
+    answer_sent(connection);
     auto const state = found->second;
     m_connections.erase(found);
     m_served -= state.m_is_served ? 1 : 0;
@@ -368,8 +410,7 @@
                                       BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
                                       BEV_TRIG_DEFER_CALLBACKS);
     }
-    if (!m_pending.empty())
-        m_pending_check.start(pending_check_interval);
+    m_pending_check.start(pending_check_interval);
     update_listeners();
 }
 
@@ -377,8 +418,6 @@
 {
     auto const is_full =
         connections() >= m_settings.m_connection_limit + refused_connections;
-    if (is_full == std::exchange(m_is_paused, is_full))
-        return;
     for (auto* const listener : m_listeners)
     {
         auto* const socket = evhttp_bound_socket_get_listener(listener);
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -1,6 +1,7 @@
 #include "net/peer_links.hpp"
 
 #include "net/error.hpp"
+#include "net/tls_context.hpp"
 #include "wire/codec.hpp"
 
 #include <event2/bufferevent.h>
@@ -36,6 +37,11 @@
            CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
+// Accepting fails when the process has no file descriptor left; trying again
+// at once would keep the loop busy.
+constexpr auto accept_retry_interval =
+    core::duration{std::chrono::milliseconds{100}};
+
 /// Why a hello is refused; empty if it is not.
 auto hello_fault(core::hello const& own, core::hello const& peer)
     -> std::string_view
@@ -83,6 +89,11 @@
 peer_links::peer_links(event_loop& loop, peer_links_settings settings)
     : m_loop{loop}, m_settings{std::move(settings)},
       m_random{static_cast<std::uint64_t>(m_settings.m_hello.m_node)},
+      m_accept_retry{loop,
+                     [this]
+                     {
+                         evconnlistener_enable(m_listener.get());
+                     }},
       m_cleanup{loop, [this]
                 {
                     std::erase_if(m_links,
@@ -106,6 +117,13 @@
             socket, {remote, static_cast<socklen_t>(size)});
     };
     evconnlistener_set_cb(m_listener.get(), accepted, this);
+    auto const accept_failed = [](evconnlistener* listener, void* self)
+    {
+        evconnlistener_disable(listener);
+        static_cast<peer_links*>(self)->m_accept_retry.start(
+            accept_retry_interval);
+    };
+    evconnlistener_set_error_cb(m_listener.get(), accept_failed);
     return {};
 }
 
@@ -152,7 +170,15 @@
     if (found == m_by_node.end())
         return;
     auto& link = *m_links.at(found->second)->m_link;
-    link.send_frame(wire::encode(message));
+    auto const body = wire::encode(message);
+    // The peer would close the link, and again after each resend.
+    if (body.size() > m_settings.m_frame_limit)
+    {
+        return log(core::log_level::error, "message_lost",
+                   m_links.at(found->second)->m_remote,
+                   "message over the frame limit");
+    }
+    link.send_frame(body);
     if (link.unsent() > m_settings.m_output_limit)
         fail(found->second, "unsent bytes over the limit");
 }
@@ -231,9 +257,11 @@
 auto peer_links::add_link(int socket, std::string remote, bool is_outgoing)
     -> link_state&
 {
-    auto connection = bufferevent_handle{bufferevent_socket_new(
-        m_loop.base(), socket,
-        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)};
+    constexpr auto options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
+    auto connection = m_settings.m_tls
+                          ? m_settings.m_tls->open(m_loop, socket)
+                          : bufferevent_handle{bufferevent_socket_new(
+                                m_loop.base(), socket, options)};
     if (!connection)
         throw std::bad_alloc{};
     auto const id = ++m_last_id;
@@ -330,6 +358,9 @@
     {
         // The side that opened the link closes it once it has read the hello
         // and so knows that it needs none.
+        if (is_self && link.m_is_outgoing)
+            log(core::log_level::info, "link_closed", link.m_remote,
+                "the peer has this process's node id");
         if (link.m_is_outgoing)
             drop(link.m_id);
         link.m_is_superseded = true;
--- a/tests/settings/test_job_record.cpp
+++ b/tests/settings/test_job_record.cpp
@@ -113,6 +113,14 @@
                "86400000");
 }
 
+// Guards against an unknown field that can't be printed again: the library
+// reads such a number as infinite.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_refused_in_unknown_fields)
+{
+    BOOST_TEST(errors_of(record(1, R"(, "z": [1, 1e999])")) ==
+               "job record: z[1]: number out of range (exponent overflow)");
+}
+
 BOOST_AUTO_TEST_CASE(the_number_of_tasks_is_bounded)
 {
     auto const with_tasks = [](std::size_t count)
@@ -175,3 +183,16 @@
         R"({"schema_version":2,"verdict":"not_run","reason":"quota",)"
         R"("detail":"","retry_after_ms":5,"answers":[]})");
 }
+
+// Guards against an unhandled exception: a number beyond the range of a double
+// is read as infinity, which cannot be printed as JSON again.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_errors)
+{
+    for (auto const* number : {"0.6E4442", "[1, -1e999]"})
+    {
+        auto const field = std::string{R"(, "size": )"} + number;
+        for (auto const& text : {record(1, field), record(1, {}, field)})
+            BOOST_TEST(errors_of(text).find("exponent overflow") !=
+                       std::string::npos);
+    }
+}
