--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -8,7 +8,7 @@
 {
 
 control::control(control_settings settings, replica_settings log_settings,
-                 recovered_state recovered, image_codec codec,
+                 recovered_state const& recovered, image_codec codec,
                  std::string address)
     : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
       m_address{std::move(address)}
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -31,7 +31,8 @@
 {
 public:
     control(control_settings settings, replica_settings log_settings,
-            recovered_state recovered, image_codec codec, std::string address);
+            recovered_state const& recovered, image_codec codec,
+            std::string address);
 
     auto start(time_point now, std::uint64_t seed, effects& out) -> void;
     auto connected(time_point now, hello const& peer, random_source& random,
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -148,7 +148,7 @@
     auto retry(control_context const& with, live_submission& work,
                std::uint32_t task) -> void;
     auto end(control_context const& with, live_submission& work,
-             verdict outcome) -> void;
+             verdict const& outcome) -> void;
     /// Ends work that did not succeed, with a verdict true to its tasks.
     auto fail(control_context const& with, live_submission& work, reason why,
               std::string_view detail, std::uint32_t retry_after_ms = 0)
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -9,16 +9,10 @@
 namespace
 {
 
-constexpr auto tick_interval = std::chrono::milliseconds{20};
-constexpr auto expiry_interval = std::chrono::seconds{60};
-constexpr auto report_interval = std::chrono::seconds{1};
 // Retries allowed before the share of first starts begins to count.
 constexpr auto retry_allowance = std::uint64_t{10};
 // A task refused by this many agents fails its submission.
 constexpr auto refusal_limit = 5U;
-// Moves proposed at once; each is an entry of the log.
-constexpr auto move_limit = std::size_t{64};
-constexpr auto forget_batch = std::size_t{64};
 
 auto outcome_of(core::finished const& outcome) -> attempt_outcome
 {
@@ -331,121 +325,6 @@
     }
 }
 
-auto coordinator::check_agents(control_context const& with) -> void
-{
-    auto lost = std::vector<node_id>{};
-    for (auto& [node, link] : m_agents)
-    {
-        auto const silence = with.m_now - link.m_heard_at;
-        if (silence > m_settings.m_agent_lost)
-            lost.push_back(node);
-        else if (silence > m_settings.m_agent_suspect && link.m_is_connected)
-        {
-            link.m_is_connected = false;
-            abandon_link(with, node);
-        }
-        else if (silence < m_settings.m_agent_suspect / 2 &&
-                 !link.m_is_connected)
-        {
-            link.m_is_connected = true;
-            m_dispatcher.set_leaving(node, link.m_info.m_leaving);
-        }
-    }
-    if (with.m_now - m_began > m_settings.m_agent_lost)
-        lost.insert(lost.end(), m_expected.begin(), m_expected.end());
-    for (auto const node : lost)
-        give_up(with, node);
-}
-
-auto coordinator::tick(control_context const& with) -> void
-{
-    if (with.m_now < m_next_tick)
-        return;
-    m_next_tick = with.m_now + tick_interval;
-    expire(with);
-    expire_keys(with);
-    report_load(with);
-    check_agents(with);
-    move_waiting(with);
-    for (auto& [node, link] : m_agents)
-        flush_forget(with, link);
-}
-
-auto coordinator::expire(control_context const& with) -> void
-{
-    for (auto const attempt : m_dispatcher.expire(with.m_now))
-    {
-        auto const found = m_live.find(attempt.m_origin);
-        if (found != m_live.end())
-            fail(with, found->second, reason::deadline, {});
-    }
-}
-
-auto coordinator::expire_keys(control_context const& with) -> void
-{
-    if (with.m_now < m_next_expiry)
-        return;
-    m_next_expiry = with.m_now + expiry_interval;
-    // Callers that did not come back by now have given up.
-    if (with.m_now > m_began + expiry_interval)
-        m_orphans.clear();
-    auto const before = with.m_wall - m_settings.m_key_retention_ms;
-    auto const oldest = with.m_state.oldest_end();
-    if (oldest != 0 && oldest < before)
-        with.m_replica.propose(core::expire_keys{before});
-}
-
-auto coordinator::report_load(control_context const& with) -> void
-{
-    if (with.m_now < m_next_report)
-        return;
-    m_next_report = with.m_now + report_interval;
-    auto const report = [&](std::string const& service)
-    {
-        with.m_out.emplace_back(
-            observe_metric{"hickorylatch_queued",
-                           {{"service", service}},
-                           static_cast<double>(m_dispatcher.queued(service))});
-        with.m_out.emplace_back(
-            observe_metric{"hickorylatch_running",
-                           {{"service", service}},
-                           static_cast<double>(m_dispatcher.running(service))});
-    };
-    report(std::string{worker_service});
-    for (auto const& each : with.m_state.config().m_services)
-        report(each.m_name);
-}
-
-auto coordinator::move_waiting(control_context const& with) -> void
-{
-    for (auto const& move : m_dispatcher.moves(with.m_now, move_limit))
-    {
-        auto const attempt = move.m_attempt;
-        auto const found = m_live.find(attempt.m_origin);
-        if (found == m_live.end())
-            continue;
-        found->second.m_tasks[attempt.m_task].m_phase = task_phase::moving;
-        with.m_replica.propose(
-            core::reallot{attempt.m_origin, {{attempt.m_task, move.m_to}}});
-    }
-}
-
-auto coordinator::flush_forget(control_context const& with, agent_link& link)
-    -> void
-{
-    auto& attempts = link.m_to_forget;
-    if (attempts.empty() || !link.m_is_connected)
-        return;
-    // Results that wait cost the agent memory only, so small batches wait for
-    // its next idle moment.
-    if (attempts.size() < forget_batch && !m_live.empty() &&
-        with.m_now - link.m_forgot_at < std::chrono::seconds{1})
-        return;
-    link.m_forgot_at = with.m_now;
-    with.m_out.emplace_back(
-        send{link.m_info.m_node, forget{m_term, std::exchange(attempts, {})}});
-}
-
 auto coordinator::cancel(control_context const& with, node_id from,
                          core::cancel const& request) -> void
 {
@@ -472,26 +351,18 @@
 auto coordinator::cancel_job(control_context const& with,
                              core::cancel_job const& order) -> verdict
 {
-    auto const done = verdict{run_state::ran, reason::none, {}, 0};
     if (auto const found = m_keys.find({order.m_customer, order.m_key});
         found != m_keys.end())
     {
         fail(with, m_live.at(found->second), reason::cancelled,
              "cancelled by an operator");
-        return done;
+        return {run_state::ran, reason::none, {}, 0};
     }
     if (with.m_state.find(order.m_customer, order.m_key) != nullptr)
         return refused(reason::invalid, "the job has already ended");
     return refused(reason::invalid, "no such job");
 }
 
-auto coordinator::next_deadline(time_point now) const -> time_point
-{
-    if (m_live.empty())
-        return now + std::chrono::milliseconds{250};
-    return std::max(m_next_tick, now);
-}
-
 auto coordinator::agents() const -> std::map<node_id, agent_link> const&
 {
     return m_agents;
--- /dev/null
+++ b/src/core/coordinator_commits.cpp
@@ -0,0 +1,163 @@
+#include "core/coordinator.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+auto coordinator::committed(control_context const& with, log_entry const& entry)
+    -> void
+{
+    if (auto const* accepted = std::get_if<accept_submission>(&entry.m_command))
+        on_accepted(with, accepted->m_origin);
+    else if (auto const* ended = std::get_if<end_submission>(&entry.m_command))
+        on_ended(with, ended->m_origin);
+    else if (auto const* moved = std::get_if<core::reallot>(&entry.m_command))
+        on_moved(with, *moved);
+    else if (std::holds_alternative<change_configuration>(entry.m_command))
+        m_dispatcher.apply(with.m_state.config());
+}
+
+auto coordinator::on_accepted(control_context const& with, origin_id origin)
+    -> void
+{
+    auto const found = m_live.find(origin);
+    if (found == m_live.end())
+        return;
+    auto& work = found->second;
+    work.m_is_committed = true;
+    if (work.m_has_ended)
+    {
+        propose_end(with, work, {});
+        return;
+    }
+    if (work.m_submission.m_kind == submission_kind::request)
+    {
+        start_committed(with, work, 0);
+        return;
+    }
+    for (auto task = 0U; task < work.m_tasks.size(); ++task)
+    {
+        if (work.m_tasks[task].m_phase == task_phase::committing &&
+            !enqueue(with, work, task, work.m_tasks[task].m_agent))
+            return;
+    }
+}
+
+auto coordinator::on_moved(control_context const& with,
+                           core::reallot const& moved) -> void
+{
+    auto const found = m_live.find(moved.m_origin);
+    if (found == m_live.end() || found->second.m_has_ended)
+        return;
+    for (auto const& [task, agent] : moved.m_allotments)
+    {
+        auto& waiting = found->second.m_tasks[task];
+        if (waiting.m_phase == task_phase::moving)
+        {
+            waiting.m_phase = task_phase::waiting;
+            waiting.m_agent = agent;
+            m_dispatcher.reassign({moved.m_origin, task}, agent);
+        }
+        else if (waiting.m_phase == task_phase::committing &&
+                 waiting.m_agent == agent)
+            start_committed(with, found->second, task);
+    }
+}
+
+auto coordinator::start_committed(control_context const& with,
+                                  live_submission& work, std::uint32_t task)
+    -> void
+{
+    if (work.m_tasks[task].m_phase != task_phase::committing)
+        return;
+    // The agent may have been given up while its allotment was committed.
+    if (m_agents.contains(work.m_tasks[task].m_agent))
+        send_start(with, work, task);
+    else
+        enqueue(with, work, task, no_node);
+}
+
+auto coordinator::on_ended(control_context const& with, origin_id origin)
+    -> void
+{
+    auto const found = m_live.find(origin);
+    if (found == m_live.end())
+        return;
+    auto& work = found->second;
+    for (auto task = 0U; task < work.m_tasks.size(); ++task)
+    {
+        auto const link = m_agents.find(work.m_tasks[task].m_agent);
+        if (link != m_agents.end())
+            link->second.m_to_forget.push_back({origin, task});
+    }
+    for (auto const& who : std::exchange(work.m_waiters, {}))
+        answer(with, who, work.m_verdict, {});
+    m_keys.erase({work.m_submission.m_customer, work.m_submission.m_key});
+    m_live.erase(found);
+}
+
+auto coordinator::end(control_context const& with, live_submission& work,
+                      verdict const& outcome) -> void
+{
+    if (work.m_has_ended)
+        return;
+    work.m_has_ended = true;
+    work.m_verdict = outcome;
+    auto answers = std::vector<task_answer>{};
+    for (auto number = 0U; number < work.m_tasks.size(); ++number)
+    {
+        auto& task = work.m_tasks[number];
+        if (task.m_phase == task_phase::done)
+            answers.push_back(task.m_answer);
+        else
+            release(with, work, number);
+    }
+    if (!work.m_is_proposed)
+    {
+        for (auto const& who : std::exchange(work.m_waiters, {}))
+            answer(with, who, outcome, answers);
+        m_keys.erase({work.m_submission.m_customer, work.m_submission.m_key});
+        m_live.erase(work.m_origin);
+        return;
+    }
+    // A failure is told only once its end is committed: until then a later
+    // leader could still run the rest. A complete answer stays available from
+    // the agents, so its commit is not waited for.
+    if (outcome.m_run == run_state::ran)
+    {
+        for (auto const& who : std::exchange(work.m_waiters, {}))
+            answer(with, who, outcome, answers);
+    }
+    else
+        answers.clear();
+    if (work.m_is_committed)
+        propose_end(with, work, std::move(answers));
+}
+
+auto coordinator::release(control_context const& with, live_submission& work,
+                          std::uint32_t number) -> void
+{
+    auto const& task = work.m_tasks[number];
+    auto const attempt = attempt_id{work.m_origin, number};
+    if (task.m_phase == task_phase::waiting ||
+        task.m_phase == task_phase::moving)
+        m_dispatcher.withdraw(attempt);
+    else if (task.m_phase == task_phase::committing)
+        m_dispatcher.finish(with.m_now, attempt, attempt_outcome::not_run);
+    else
+        with.m_out.emplace_back(
+            send{task.m_agent, stop_attempt{m_term, attempt}});
+}
+
+auto coordinator::propose_end(control_context const& with,
+                              live_submission const& work,
+                              std::vector<task_answer> answers) -> void
+{
+    with.m_replica.propose(end_submission{work.m_origin, work.m_verdict,
+                                          std::move(answers), with.m_wall});
+}
+
+} // namespace hickorylatch::core
--- a/src/hickorylatch/operator_client.cpp
+++ b/src/hickorylatch/operator_client.cpp
@@ -7,7 +7,7 @@
 
 operator_client::operator_client(net::socket_address target,
                                  core::duration timeout)
-    : m_client{m_loop, std::move(target), {}}, m_timeout{timeout}
+    : m_client{m_loop, target, {}}, m_timeout{timeout}
 {
 }
 
@@ -26,7 +26,7 @@
                  m_timeout});
 }
 
-auto operator_client::call(net::http_call wanted) -> net::http_result
+auto operator_client::call(net::http_call const& wanted) -> net::http_result
 {
     auto answer = net::http_result{};
     m_client.start(wanted,
--- a/src/hickorylatch/operator_client.hpp
+++ b/src/hickorylatch/operator_client.hpp
@@ -22,7 +22,7 @@
         -> net::http_result;
 
 private:
-    [[nodiscard]] auto call(net::http_call wanted) -> net::http_result;
+    [[nodiscard]] auto call(net::http_call const& wanted) -> net::http_result;
 
     net::event_loop m_loop;
     net::http_client m_client;
--- a/tests/core/fake_system.cpp
+++ b/tests/core/fake_system.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace hickorylatch::test
 {
@@ -194,8 +195,12 @@
 {
     auto& target = m_processes.at(name);
     target.m_is_frozen = is_frozen;
-    if (!is_frozen && target.m_node)
-        feed(name, core::timer_fired{});
+    if (is_frozen || !target.m_node)
+        return;
+    // A frozen process sees what came meanwhile, in order, once it goes on.
+    for (auto const& event : std::exchange(target.m_held_back, {}))
+        feed(name, event);
+    feed(name, core::timer_fired{});
 }
 
 auto fake_system::run_for(core::duration span) -> void
@@ -283,6 +288,7 @@
     auto& born = m_processes.at(name);
     ++born.m_life;
     born.m_is_frozen = false;
+    born.m_held_back.clear();
     born.m_node = born.m_make();
     feed(name, core::clock_read{1'000'000});
     feed(name, core::started{m_random()});
@@ -302,8 +308,7 @@
         return;
     if (target.m_is_frozen)
     {
-        // A frozen process sees what came meanwhile once it goes on.
-        after(std::chrono::milliseconds{10}, name, incoming);
+        target.m_held_back.push_back(incoming);
         return;
     }
     auto out = core::effects{};
--- a/tests/core/fake_system.hpp
+++ b/tests/core/fake_system.hpp
@@ -96,6 +96,8 @@
         std::uint64_t m_life = 0;
         std::uint64_t m_timer_life = 0;
         bool m_is_frozen = false;
+        /// Events that came while it was frozen.
+        std::vector<core::event> m_held_back;
     };
 
     auto start_process(std::string const& name) -> void;
--- a/tests/core/test_system_faults.cpp
+++ b/tests/core/test_system_faults.cpp
@@ -311,7 +311,7 @@
 
     auto check_end() -> void
     {
-        m_system.run_for(3s);
+        m_system.run_for(15s);
         auto const leader = m_system.leader();
         BOOST_REQUIRE_MESSAGE(!leader.empty(), "no leader, seed " << m_seed);
         auto const* work = m_system.node(leader).m_control->leader_work();
