--- a/benchmarks/measure_slopes.cpp
+++ b/benchmarks/measure_slopes.cpp
@@ -160,10 +160,12 @@
     auto const sent_before = leader.sent_bytes();
     auto const spent = run_cpu(leader, frames);
     if (bytes != nullptr)
-        *bytes = {{"log_bytes_per_job", (leader.log_bytes() - log_before) /
-                                            static_cast<double>(jobs)},
-                  {"sent_bytes_per_job", (leader.sent_bytes() - sent_before) /
-                                             static_cast<double>(jobs)}};
+        *bytes = {{"log_bytes_per_job",
+                   static_cast<double>(leader.log_bytes() - log_before) /
+                       static_cast<double>(jobs)},
+                  {"sent_bytes_per_job",
+                   static_cast<double>(leader.sent_bytes() - sent_before) /
+                       static_cast<double>(jobs)}};
     return spent;
 }
 
