Write the last answers of a process that stops before it exits

Cause: a stopping process exits once its HTTP servers have no open exchange, and an exchange ends when its answer is handed to evhttp, before any byte of it is written. The answer that made the process idle was dropped and its caller saw the connection close.

Ruled out: the request itself (it ran, and the answer was due in the same millisecond as the exit) and the links between processes, whose unsent bytes were already waited for.

--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -376,13 +376,14 @@
 
 auto process::finish_when_flushed() -> void
 {
-    auto const has_exchanges =
-        std::ranges::any_of(m_servers,
-                            [](auto const& server)
-                            {
-                                return server->open_exchanges() != 0;
-                            });
-    auto const is_busy = m_links->unsent() != 0 || has_exchanges;
+    // An exchange ends when its answer is queued; the server stays busy until
+    // the answer has been written.
+    auto const has_answers = std::ranges::any_of(m_servers,
+                                                 [](auto const& server)
+                                                 {
+                                                     return !server->is_idle();
+                                                 });
+    auto const is_busy = m_links->unsent() != 0 || has_answers;
     if (is_busy && ++m_flush_rounds < flush_rounds_limit)
         m_flush.start(flush_interval);
     else
