Keep a result that reaches a new leader before its caller's resend

Cause: after a change of leader an agent announces the uncommitted attempts it holds, so that a caller's resend joins them, and reports the result of an ended one once. If the result came before the resend, it was dropped as late, but the attempt was still offered to the resend, which then waited for a result that never came and was answered 504 may_have_run at its deadline. An attempt of an agent whose link was lost in between could be joined the same way.

Ruled out: a lost resend; a test with the entry cut off until the result had come reproduces it.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -98,14 +98,17 @@
         accept_job(with, live);
         return true;
     }
-    auto const running = m_orphans.find({from, request.m_sequence});
-    if (!is_volatile || running == m_orphans.end())
+    auto const found = m_orphans.extract({from, request.m_sequence});
+    if (!is_volatile || found.empty())
     {
         enqueue(with, live, 0, no_node);
         return true;
     }
-    adopt(live.m_origin, running->second);
-    m_orphans.erase(running);
+    auto const& running = found.mapped();
+    adopt(live.m_origin, running);
+    // The agent reports a result of an uncommitted request only once.
+    if (running.m_outcome)
+        task_ended(with, live, *running.m_outcome);
     return true;
 }
 
@@ -139,7 +142,7 @@
     {
         if (m_live.contains(attempt.m_origin))
             continue;
-        auto const running = orphan{attempt, news.m_agent.m_node};
+        auto const running = orphan{attempt, news.m_agent.m_node, {}};
         auto const known = m_waiting.find({caller.m_entry, caller.m_sequence});
         if (known == m_waiting.end())
         {
@@ -152,6 +155,15 @@
     }
 }
 
+auto coordinator::keep_for_orphan(core::finished const& outcome) -> void
+{
+    for (auto& [caller, running] : m_orphans)
+    {
+        if (running.m_attempt == outcome.m_attempt)
+            running.m_outcome = outcome;
+    }
+}
+
 auto coordinator::join(control_context const& with, core::submit const& request,
                        waiter const& who) -> bool
 {
@@ -503,7 +515,7 @@
 }
 
 auto coordinator::end(control_context const& with, live_submission& work,
-                      verdict outcome) -> void
+                      verdict const& outcome) -> void
 {
     if (work.m_has_ended)
         return;
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -107,6 +107,8 @@
     {
         attempt_id m_attempt;
         node_id m_agent = no_node;
+        /// Its result, if the agent reported it before the caller asked.
+        std::optional<core::finished> m_outcome;
     };
 
     using key_of = std::pair<std::string, std::string>;
@@ -123,6 +125,8 @@
     /// Joins a request that is not running to an attempt of an earlier leader.
     auto adopt(origin_id origin, orphan const& running) -> void;
     auto take_orphans(announce const& news) -> void;
+    /// Keeps a result until the caller of the attempt asks again.
+    auto keep_for_orphan(core::finished const& outcome) -> void;
     auto accept_job(control_context const& with, live_submission& work) -> void;
     /// Queues a task, for one agent or for any. False if that ended the work.
     auto enqueue(control_context const& with, live_submission& work,
@@ -148,7 +152,7 @@
     auto retry(control_context const& with, live_submission& work,
                std::uint32_t task) -> void;
     auto end(control_context const& with, live_submission& work,
-             verdict outcome) -> void;
+             verdict const& outcome) -> void;
     /// Ends work that did not succeed, with a verdict true to its tasks.
     auto fail(control_context const& with, live_submission& work, reason why,
               std::string_view detail, std::uint32_t retry_after_ms = 0)
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -131,6 +131,8 @@
     if (!is_current)
     {
         count_wasted(with, "late_result");
+        if (found == m_live.end() && is_volatile(attempt))
+            keep_for_orphan(outcome);
         auto const is_elsewhere =
             found != m_live.end() && !found->second.m_has_ended;
         if (!is_elsewhere)
@@ -277,6 +279,13 @@
     -> void
 {
     m_dispatcher.set_leaving(agent, true);
+    // A new link announces what still runs; nothing else ends these.
+    std::erase_if(m_orphans,
+                  [agent](auto const& each)
+                  {
+                      return each.second.m_agent == agent &&
+                             !each.second.m_outcome;
+                  });
     auto attempts = std::vector<attempt_id>{};
     for (auto const& [origin, work] : m_live)
     {
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -180,3 +180,39 @@
     BOOST_TEST((system->answer(read)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->starts("read") == 1U);
 }
+
+// Guards against an idempotent request that waits for its deadline, or runs
+// again, because its result reached the new leader before its caller's resend.
+BOOST_AUTO_TEST_CASE(a_result_waits_for_the_resend_to_a_new_leader)
+{
+    auto const system = make_system(3);
+    auto const body = std::string{"12 reels"};
+    auto const exchange =
+        system->submit("entry-0", make_request("/stock", body));
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->starts(body) == 1U;
+        },
+        2s));
+    auto const set_cut = [&](bool is_cut)
+    {
+        for (auto const* name : {"control-0", "control-1", "control-2"})
+            system->cut("entry-0", name, is_cut);
+    };
+    set_cut(true);
+    system->kill(system->leader());
+    system->run_for(3s);
+    BOOST_REQUIRE(!system->leader().empty());
+    BOOST_REQUIRE(system->answer(exchange) == nullptr);
+    set_cut(false);
+    BOOST_REQUIRE(system->run_until(
+        [&]
+        {
+            return system->answer(exchange) != nullptr;
+        },
+        3s));
+    BOOST_TEST(
+        (system->answer(exchange)->m_verdict.m_run == core::run_state::ran));
+    BOOST_TEST(system->starts(body) == 1U);
+}
