--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -481,7 +481,7 @@
 auto coordinator::cancel_job(control_context const& with,
                              core::cancel_job const& order) -> verdict
 {
-    auto const done = verdict{run_state::ran, reason::none, {}, 0};
+    auto done = verdict{run_state::ran, reason::none, {}, 0};
     if (auto const found = m_keys.find({order.m_customer, order.m_key});
         found != m_keys.end())
     {
