--- a/src/process/agent_calls.cpp
+++ b/src/process/agent_calls.cpp
@@ -26,7 +26,7 @@
 
 agent_calls::agent_calls(net::event_loop& loop, net::socket_address target,
                          settings::agent_settings const& limits)
-    : m_limits{limits}, m_client{loop, std::move(target), {}}
+    : m_limits{limits}, m_client{loop, target, {}}
 {
 }
 
--- a/src/process/durable_log.cpp
+++ b/src/process/durable_log.cpp
@@ -42,9 +42,9 @@
                {
                    run(batch);
                },
-               [this](std::vector<job> batch)
+               [this](std::vector<job> const& batch)
                {
-                   completed(std::move(batch));
+                   completed(batch);
                }}
 {
 }
@@ -125,7 +125,7 @@
     }
 }
 
-auto durable_log::completed(std::vector<job> batch) -> void
+auto durable_log::completed(std::vector<job> const& batch) -> void
 {
     for (auto const& done : batch)
     {
--- a/src/process/durable_log.hpp
+++ b/src/process/durable_log.hpp
@@ -46,7 +46,7 @@
     };
 
     auto run(std::span<job> batch) -> void;
-    auto completed(std::vector<job> batch) -> void;
+    auto completed(std::vector<job> const& batch) -> void;
 
     net::event_loop& m_loop;
     storage::data_folder m_folder;
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -110,7 +110,7 @@
                       std::uint32_t schema_version = 0) -> core::exchange_id;
     auto abandon(net::http_server& server, core::exchange_id exchange) -> void;
     auto refuse(net::http_server& server, core::exchange_id exchange,
-                std::uint16_t status, std::string text) -> void;
+                std::uint16_t status, std::string_view text) -> void;
     auto answer(core::exchange_id exchange, net::http_answer const& answer)
         -> void;
     auto read_clock() -> void;
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -258,7 +258,7 @@
 }
 
 auto process::refuse(net::http_server& server, core::exchange_id exchange,
-                     std::uint16_t status, std::string text) -> void
+                     std::uint16_t status, std::string_view text) -> void
 {
     auto const answer =
         print_refusal(status, core::refused(core::reason::invalid, text));
