Bound the content of committed submissions and spread the membership

Causes, found by review: - an entry of the log larger than a frame is never replicated, so one large answer would have stopped all commits; the tasks and the answers of a committed submission are now bounded by half of the frame limit; - entries never learned a changed membership; the configuration message now carries it, to agents too; - agents without a usage measurement reported zero, which the placement took for idle workers.

--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -82,11 +82,7 @@
         kept.m_outcome.m_sent_at = now;
         out.emplace_back(send{from, kept.m_outcome});
     }
-    auto addresses = std::vector<std::string>{};
-    for (auto const& replica : greeting.m_members)
-        addresses.push_back(replica.m_address);
-    if (!addresses.empty())
-        out.emplace_back(keep_links{std::move(addresses)});
+    lease::keep_links_to(greeting.m_members, out);
 }
 
 auto agent::on(time_point now, node_id from,
@@ -96,6 +92,7 @@
         m_lease.leader() != from || m_lease.term() != change.m_term;
     if (!m_lease.follow(from, change.m_term, change.m_configuration))
         return;
+    lease::keep_links_to(change.m_members, out);
     auto const is_new_link = m_unannounced.erase(from) != 0;
     if (is_new || is_new_link)
         announce_to(now, from, out);
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -36,20 +36,9 @@
     if (m_coordinator)
         m_coordinator->connected(peer.m_node);
     auto const with = context(now, random, out);
-    auto const members = m_replica.members();
-    auto const is_blank_member =
-        peer.m_cluster == 0 && m_replica.cluster() != 0 &&
-        std::ranges::find(members, peer.m_node, &member::m_node) !=
-            members.end();
-    if (is_blank_member)
-        out.emplace_back(
-            send{peer.m_node, found_group{m_replica.cluster(),
-                                          {members.begin(), members.end()}}});
     if (peer.m_needs_configuration && m_coordinator &&
         m_replica.has_quorum(now))
-        out.emplace_back(
-            send{peer.m_node,
-                 configuration_changed{m_replica.term(), m_state.config()}});
+        out.emplace_back(send{peer.m_node, current_configuration()});
     settle(with);
 }
 
@@ -308,7 +297,7 @@
         m_coordinator->committed(with, entry);
     auto const* change = std::get_if<change_configuration>(&entry.m_command);
     auto const* members = std::get_if<change_membership>(&entry.m_command);
-    if (change != nullptr && m_coordinator)
+    if ((change != nullptr || members != nullptr) && m_coordinator)
         broadcast(with);
     if (change == nullptr && members == nullptr)
         return;
@@ -322,14 +311,19 @@
     m_operators.erase(waiting.first, waiting.second);
 }
 
+auto control::current_configuration() const -> configuration_changed
+{
+    auto const members = m_replica.members();
+    return {
+        m_replica.term(), m_state.config(), {members.begin(), members.end()}};
+}
+
 auto control::broadcast(control_context const& with) -> void
 {
     for (auto const& [node, peer] : m_peers)
     {
         if (peer.m_needs_configuration)
-            with.m_out.emplace_back(
-                send{node, configuration_changed{m_replica.term(),
-                                                 m_state.config()}});
+            with.m_out.emplace_back(send{node, current_configuration()});
     }
 }
 
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -84,6 +84,7 @@
         -> void;
     auto settle(control_context const& with) -> void;
     auto apply(control_context const& with, log_entry const& entry) -> void;
+    [[nodiscard]] auto current_configuration() const -> configuration_changed;
     auto broadcast(control_context const& with) -> void;
     auto follow_leadership(control_context const& with) -> void;
     auto compact(control_context const& with) -> void;
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -227,6 +227,14 @@
         return refused(reason::invalid, "an idempotency key is required");
     if (work.m_submitted_at == 0)
         return refused(reason::missing_submitted_at);
+    auto bytes = work.m_extra.size();
+    for (auto const& each : work.m_tasks)
+        bytes += each.m_body.size();
+    if (bytes > m_settings.m_content_limit)
+        return refused(reason::invalid,
+                       "the tasks hold more than " +
+                           std::to_string(m_settings.m_content_limit) +
+                           " bytes");
     if (work.m_submitted_at > with.m_wall + clock_tolerance_ms)
         return refused(reason::invalid, "submitted_at lies in the future");
     if (with.m_state.submissions().size() >= m_settings.m_key_limit)
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -31,6 +31,9 @@
     unix_milliseconds m_key_retention_ms = 24LL * 3600 * 1000;
     /// Submissions kept at most; more are refused.
     std::size_t m_key_limit = 1'000'000;
+    /// Bytes of all tasks or of all answers of a committed submission at most.
+    /// Each is one entry of the log and has to fit into a frame.
+    std::size_t m_content_limit = std::size_t{4} << 20U;
     /// Further starts of an idempotent request after its agent was lost or its
     /// endpoint failed it.
     std::uint32_t m_retry_limit = 2;
--- a/src/core/coordinator_agents.cpp
+++ b/src/core/coordinator_agents.cpp
@@ -171,7 +171,17 @@
     }
     task.m_phase = task_phase::done;
     task.m_answer = outcome.m_answer;
-    if (--work.m_remaining == 0)
+    if (--work.m_remaining != 0)
+        return;
+    auto bytes = std::size_t{0};
+    for (auto const& each : work.m_tasks)
+        bytes += each.m_answer.m_body.size();
+    // A larger entry of the log would not fit into a frame.
+    if (work.m_is_proposed && bytes > m_settings.m_content_limit)
+        fail(with, work, reason::call_failed,
+             "the answers hold more than " +
+                 std::to_string(m_settings.m_content_limit) + " bytes");
+    else
         end(with, work, {run_state::ran, reason::none, {}, 0});
 }
 
@@ -253,8 +263,10 @@
         link->second.m_last_sent_at =
             std::max(link->second.m_last_sent_at, ask.m_sent_at);
     }
-    m_dispatcher.report_usage(from, ask.m_used_millicores,
-                              ask.m_used_memory_mb);
+    // An agent without a measurement reports zero.
+    if (ask.m_used_millicores != 0 || ask.m_used_memory_mb != 0)
+        m_dispatcher.report_usage(from, ask.m_used_millicores,
+                                  ask.m_used_memory_mb);
     with.m_out.emplace_back(send{from, grant(with, ask.m_sent_at)});
 }
 
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -104,6 +104,13 @@
     return std::nullopt;
 }
 
+auto entry::priority_label(submission const& work) const -> std::string
+{
+    auto const* owner = find_customer(m_lease.config(), work.m_customer);
+    auto const level = owner == nullptr ? priority{0} : owner->m_priority;
+    return std::to_string(work.m_priority.value_or(level));
+}
+
 auto entry::is_durable(submission const& work) const -> bool
 {
     if (work.m_kind == submission_kind::job)
@@ -346,6 +353,7 @@
     if (!m_lease.follow(from, change.m_term, change.m_configuration))
         return;
     m_retry_delay = leader_retry;
+    lease::keep_links_to(change.m_members, out);
     m_lease.tick(now, out);
     forward(now, out);
 }
@@ -368,10 +376,11 @@
                      {"service", work.m_service},
                      {"verdict", std::string{to_string(outcome.m_run)}},
                      {"reason", std::string{to_string(outcome.m_reason)}}}});
-    out.emplace_back(observe_metric{
-        "hickorylatch_response_seconds",
-        {{"service", work.m_service}, {"customer", work.m_customer}},
-        seconds});
+    out.emplace_back(observe_metric{"hickorylatch_response_seconds",
+                                    {{"service", work.m_service},
+                                     {"customer", work.m_customer},
+                                     {"priority", priority_label(work)}},
+                                    seconds});
     if (outcome.m_run != run_state::ran)
         out.emplace_back(observe_metric{
             "hickorylatch_refusals_total",
--- a/src/core/entry.hpp
+++ b/src/core/entry.hpp
@@ -65,6 +65,8 @@
 
     [[nodiscard]] auto refusal(time_point now, submission const& work) const
         -> std::optional<verdict>;
+    [[nodiscard]] auto priority_label(submission const& work) const
+        -> std::string;
     [[nodiscard]] auto is_durable(submission const& work) const -> bool;
     /// Sends what the present leader does not have yet.
     auto forward(time_point now, effects& out) -> void;
--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -1,6 +1,7 @@
 #include "core/lease.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickorylatch::core
 {
@@ -26,6 +27,15 @@
     return true;
 }
 
+auto lease::keep_links_to(std::span<member const> members, effects& out) -> void
+{
+    auto addresses = std::vector<std::string>{};
+    for (auto const& replica : members)
+        addresses.push_back(replica.m_address);
+    if (!addresses.empty())
+        out.emplace_back(keep_links{std::move(addresses)});
+}
+
 auto lease::extend(node_id from, renewed const& grant) -> void
 {
     if (from != m_leader || grant.m_term != m_term ||
--- a/src/core/lease.hpp
+++ b/src/core/lease.hpp
@@ -4,6 +4,8 @@
 #include "core/effect.hpp"
 #include "core/message.hpp"
 
+#include <span>
+
 namespace hickorylatch::core
 {
 
@@ -15,6 +17,9 @@
     /// Takes a leader's configuration. False if it is of an older term.
     auto follow(node_id leader, term_number term, configuration const& config)
         -> bool;
+    /// Keeps links to the members of the control group.
+    static auto keep_links_to(std::span<member const> members, effects& out)
+        -> void;
     /// Extends the lease. Ignored if it names another configuration version
     /// than the one held, or comes from another leader.
     auto extend(node_id from, renewed const& grant) -> void;
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -292,8 +292,11 @@
 {
     term_number m_term = 0;
     configuration m_configuration;
+    /// The control group, so that links follow its membership.
+    std::vector<member> m_members;
 };
-BOOST_DESCRIBE_STRUCT(configuration_changed, (), (m_term, m_configuration))
+BOOST_DESCRIBE_STRUCT(configuration_changed, (),
+                      (m_term, m_configuration, m_members))
 
 // Control replicas.
 
--- a/src/process/agent_calls.cpp
+++ b/src/process/agent_calls.cpp
@@ -25,8 +25,9 @@
 } // namespace
 
 agent_calls::agent_calls(net::event_loop& loop, net::socket_address target,
-                         settings::agent_settings const& limits)
-    : m_limits{limits}, m_client{loop, target, {}}
+                         settings::agent_settings const& limits,
+                         std::size_t answer_limit)
+    : m_limits{limits}, m_client{loop, target, {.m_answer_limit = answer_limit}}
 {
 }
 
--- a/src/process/agent_calls.hpp
+++ b/src/process/agent_calls.hpp
@@ -17,8 +17,10 @@
 class agent_calls
 {
 public:
+    /// A larger answer than `answer_limit` bytes is an error.
     agent_calls(net::event_loop& loop, net::socket_address target,
-                settings::agent_settings const& limits);
+                settings::agent_settings const& limits,
+                std::size_t answer_limit);
 
     auto start(core::start_call const& call) -> void;
     auto cancel(core::cancel_call const& call) -> void;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -161,6 +161,7 @@
     limits.m_key_retention_ms =
         core::unix_milliseconds{wanted.m_key_retention_hours} * 3'600'000;
     limits.m_key_limit = wanted.m_key_limit;
+    limits.m_content_limit = m_settings.m_frame_limit_bytes / 2;
     limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
     m_node.m_id = opened.m_recovered.m_identity;
     m_node.m_address = wanted.m_listen_address;
@@ -189,7 +190,8 @@
     info.m_rack = wanted.m_rack;
     info.m_failure_domain = m_settings.m_failure_domain;
     m_node.m_agent.emplace(std::move(info));
-    m_calls = std::make_unique<agent_calls>(m_loop, target, wanted);
+    m_calls = std::make_unique<agent_calls>(m_loop, target, wanted,
+                                            m_settings.m_frame_limit_bytes / 2);
     return {};
 }
 
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -242,3 +242,38 @@
         (system->answer(exchange)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->starts(body) == 1U);
 }
+
+// Guards against an entry of the log that is too large for a frame: no
+// follower would ever receive it, and nothing would be committed again.
+BOOST_AUTO_TEST_CASE(content_too_large_for_a_frame_fails_alone)
+{
+    auto const system = make_system(3);
+    auto const answered = [&](core::exchange_id exchange)
+    {
+        return system->run_until(
+            [&]
+            {
+                return system->answer(exchange);
+            },
+            5s);
+    };
+    auto large = make_job("large", 4);
+    for (auto& task : large.m_tasks)
+        task.m_body.resize((std::size_t{1} << 20U) - 6, 'x');
+    // Each answer repeats the body with a prefix, so that only their sum is
+    // over the limit.
+    auto const failed = system->submit("entry-0", large);
+    BOOST_REQUIRE(answered(failed));
+    BOOST_TEST((system->answer(failed)->m_verdict.m_reason ==
+                core::reason::call_failed));
+    BOOST_TEST(system->answer(failed)->m_answers.empty());
+    large.m_key = "larger";
+    large.m_tasks.push_back(large.m_tasks.front());
+    auto const refused = system->submit("entry-0", large);
+    BOOST_REQUIRE(answered(refused));
+    BOOST_TEST(
+        (system->answer(refused)->m_verdict.m_run == core::run_state::not_run));
+    auto const next = system->submit("entry-0", make_job("next", 4));
+    BOOST_REQUIRE(answered(next));
+    BOOST_TEST((system->answer(next)->m_verdict.m_run == core::run_state::ran));
+}
