Test that a start waits for at most one sync

One sync at the leader precedes the first start of a job of 1, 100 or 1,400 tasks and of a non-idempotent request; none that of an idempotent one.

--- a/tests/core/fake_system.cpp
+++ b/tests/core/fake_system.cpp
@@ -246,6 +246,12 @@
     return found == m_operator_told.end() ? nullptr : &found->second;
 }
 
+auto fake_system::syncs(std::string const& name) const -> unsigned
+{
+    auto const found = m_syncs.find(name);
+    return found == m_syncs.end() ? 0 : found->second;
+}
+
 auto fake_system::starts(std::string const& body) const -> unsigned
 {
     auto const found = m_starts.find(body);
@@ -419,6 +425,7 @@
                          state.m_entries.insert(state.m_entries.end(),
                                                 write.m_entries.begin(),
                                                 write.m_entries.end());
+                         ++m_syncs[name];
                          feed(name, core::log_synced{write.m_write});
                      });
 }
--- a/tests/core/fake_system.hpp
+++ b/tests/core/fake_system.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] auto answer(core::exchange_id exchange) const -> told const*;
     [[nodiscard]] auto operator_answer(core::exchange_id exchange) const
         -> core::operate_result const*;
+    /// Writes to the log of a process that were synced.
+    [[nodiscard]] auto syncs(std::string const& name) const -> unsigned;
     [[nodiscard]] auto starts(std::string const& body) const -> unsigned;
     [[nodiscard]] auto node(std::string const& name) -> core::node&;
     [[nodiscard]] auto is_alive(std::string const& name) const -> bool;
@@ -129,6 +131,7 @@
     std::map<core::exchange_id, told> m_told;
     std::map<core::exchange_id, core::operate_result> m_operator_told;
     std::map<std::string, unsigned> m_starts;
+    std::map<std::string, unsigned> m_syncs;
     core::exchange_id m_exchange = 0;
 };
 
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -277,3 +277,34 @@
     BOOST_REQUIRE(answered(next));
     BOOST_TEST((system->answer(next)->m_verdict.m_run == core::run_state::ran));
 }
+
+// Guards against further syncs on the way to a start: one holds the acceptance
+// and the allotment of all tasks, and an idempotent request needs none.
+BOOST_AUTO_TEST_CASE(a_start_waits_for_at_most_one_sync)
+{
+    auto const system = make_system(3);
+    auto const syncs_before_start =
+        [&](core::submission const& work, std::string const& body)
+    {
+        system->run_for(1s);
+        auto const before = system->syncs(system->leader());
+        system->submit("entry-0", work);
+        BOOST_REQUIRE(system->run_until(
+            [&]
+            {
+                return system->starts(body) == 1U;
+            },
+            1s));
+        return system->syncs(system->leader()) - before;
+    };
+    for (auto const tasks : {1U, 100U, 1400U})
+    {
+        auto const key = "job-" + std::to_string(tasks);
+        BOOST_TEST(syncs_before_start(make_job(key, tasks), key + "/0") == 1U);
+        system->run_for(60s);
+    }
+    BOOST_TEST(syncs_before_start(make_request("/reserve", "held"), "held") ==
+               1U);
+    BOOST_TEST(syncs_before_start(make_request("/stock", "read"), "read") ==
+               0U);
+}
