--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -56,31 +56,34 @@
                       random_source& random, effects& out) -> void
 {
     auto const with = context(now, random, out);
-    if (from_entry(with, from, incoming))
-    {
-    }
-    else if (auto const* group = std::get_if<found_group>(&incoming))
-        m_replica.found(group->m_cluster, group->m_members, out);
-    else if (std::holds_alternative<announce>(incoming) ||
-             std::holds_alternative<finished>(incoming) ||
-             std::holds_alternative<renew>(incoming))
-    {
-        // A leader without a quorum must not extend leases or take results:
-        // another one may lead already.
-        if (!is_leading(now))
-            return;
-        if (auto const* news = std::get_if<announce>(&incoming))
-            m_coordinator->announced(with, *news);
-        else if (auto const* outcome = std::get_if<finished>(&incoming))
-            m_coordinator->finished(with, from, *outcome);
-        else
-            m_coordinator->renewed(with, from, std::get<renew>(incoming));
-    }
-    else
+    auto const is_taken =
+        from_entry(with, from, incoming) || from_agent(with, from, incoming);
+    if (!is_taken)
         m_replica.receive(now, from, incoming, out);
     settle(with);
 }
 
+auto control::from_agent(control_context const& with, node_id from,
+                         message const& incoming) -> bool
+{
+    auto const* news = std::get_if<announce>(&incoming);
+    auto const* outcome = std::get_if<finished>(&incoming);
+    auto const* ask = std::get_if<renew>(&incoming);
+    if (news == nullptr && outcome == nullptr && ask == nullptr)
+        return false;
+    // A leader without a quorum must not extend leases or take results:
+    // another one may lead already.
+    if (!is_leading(with.m_now))
+        return true;
+    if (news != nullptr)
+        m_coordinator->announced(with, *news);
+    else if (outcome != nullptr)
+        m_coordinator->finished(with, from, *outcome);
+    else
+        m_coordinator->renewed(with, from, *ask);
+    return true;
+}
+
 auto control::from_entry(control_context const& with, node_id from,
                          message const& incoming) -> bool
 {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -72,8 +72,12 @@
 
     [[nodiscard]] auto context(time_point now, random_source& random,
                                effects& out) -> control_context;
+    /// False if the message is not one of an entry.
     auto from_entry(control_context const& with, node_id from,
                     message const& incoming) -> bool;
+    /// False if the message is not one that extends a lease or tells of work.
+    auto from_agent(control_context const& with, node_id from,
+                    message const& incoming) -> bool;
     auto operate(control_context const& with, operator_wait who,
                  operation const& asked) -> void;
     auto propose_change(control_context const& with, operator_wait who,
--- a/src/core/random_source.cpp
+++ b/src/core/random_source.cpp
@@ -1,5 +1,7 @@
 #include "core/random_source.hpp"
 
+#include "core/traceparent.hpp"
+
 namespace hickorylatch::core
 {
 
@@ -13,21 +15,13 @@
     return m_engine();
 }
 
-auto random_source::hexadecimal(std::size_t digits) -> std::string
-{
-    static constexpr auto alphabet = std::string_view{"0123456789abcdef"};
-    auto text = std::string{};
-    for (auto bits = number(); text.size() < digits; bits >>= 4U)
-        text.push_back(alphabet[bits & 0xFU]);
-    return text;
-}
-
 auto random_source::child_of(trace_context const& parent) -> trace_context
 {
-    auto child = trace_context{parent.m_trace, hexadecimal(16)};
-    if (child.m_trace.empty())
-        child.m_trace = hexadecimal(16) + hexadecimal(16);
-    return child;
+    if (is_valid(parent))
+        return child_span(parent, number());
+    auto const high = number();
+    auto const low = number();
+    return new_trace(high, low, number());
 }
 
 } // namespace hickorylatch::core
--- a/src/core/random_source.hpp
+++ b/src/core/random_source.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <random>
-#include <string>
 
 namespace hickorylatch::core
 {
@@ -18,9 +17,7 @@
     auto seed(std::uint64_t value) -> void;
 
     [[nodiscard]] auto number() -> std::uint64_t;
-    /// Lower-case hexadecimal digits, at most 16.
-    [[nodiscard]] auto hexadecimal(std::size_t digits) -> std::string;
-    /// A new span in the given trace, or in a new trace if it has none.
+    /// A new span in the given trace, or in a new trace if it is not valid.
     [[nodiscard]] auto child_of(trace_context const& parent) -> trace_context;
 
 private:
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -26,6 +26,31 @@
     return system;
 }
 
+/// Runs until the exchange is answered. False if it is not within the span.
+auto is_answered(fake_system& system, core::exchange_id exchange,
+                 core::duration span) -> bool
+{
+    return system.run_until(
+        [&]
+        {
+            return system.answer(exchange) != nullptr;
+        },
+        span);
+}
+
+/// Runs until the task with this body has started once. False if it does not
+/// within the span.
+auto has_started(fake_system& system, std::string const& body,
+                 core::duration span) -> bool
+{
+    return system.run_until(
+        [&]
+        {
+            return system.starts(body) == 1U;
+        },
+        span);
+}
+
 } // namespace
 
 // Guards against a request that gets no answer or another's answer.
@@ -37,12 +62,7 @@
         auto const body = std::string{path} + " 12 reels";
         auto const exchange =
             system->submit("entry-0", make_request(path, body));
-        BOOST_REQUIRE(system->run_until(
-            [&]
-            {
-                return system->answer(exchange) != nullptr;
-            },
-            2s));
+        BOOST_REQUIRE(is_answered(*system, exchange, 2s));
         auto const* answer = system->answer(exchange);
         BOOST_TEST((answer->m_verdict.m_run == core::run_state::ran));
         BOOST_REQUIRE(answer->m_answers.size() == 1U);
@@ -71,12 +91,7 @@
         BOOST_TEST(answer->m_answers.size() == 40U);
     }
     auto const later = system->submit("entry-1", job);
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->answer(later) != nullptr;
-        },
-        1s));
+    BOOST_REQUIRE(is_answered(*system, later, 1s));
     BOOST_TEST(system->answer(later)->m_answers.size() == 40U);
     for (auto number = 0; number < 40; ++number)
         BOOST_TEST(system->starts("job-1/" + std::to_string(number)) == 1U);
@@ -88,21 +103,11 @@
     auto const system = make_system(1);
     auto const running =
         system->submit("entry-0", make_request("/reserve", "held"));
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->starts("held") == 1;
-        },
-        1s));
+    BOOST_REQUIRE(has_started(*system, "held", 1s));
     system->stop("endpoint-0");
     auto const refused =
         system->submit("entry-0", make_request("/stock", "too late"));
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->answer(running) != nullptr;
-        },
-        2s));
+    BOOST_REQUIRE(is_answered(*system, running, 2s));
     BOOST_TEST(
         (system->answer(running)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->run_until(
@@ -164,19 +169,9 @@
         return 3s;
     };
     auto const read = system->submit("entry-0", make_request("/stock", "read"));
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->starts("read") == 1;
-        },
-        1s));
+    BOOST_REQUIRE(has_started(*system, "read", 1s));
     system->kill(system->leader());
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->answer(read) != nullptr;
-        },
-        8s));
+    BOOST_REQUIRE(is_answered(*system, read, 8s));
     BOOST_TEST((system->answer(read)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->starts("read") == 1U);
 }
@@ -189,12 +184,7 @@
     auto const body = std::string{"12 reels"};
     auto const exchange =
         system->submit("entry-0", make_request("/stock", body));
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->starts(body) == 1U;
-        },
-        2s));
+    BOOST_REQUIRE(has_started(*system, body, 2s));
     auto const set_cut = [&](bool is_cut)
     {
         for (auto const* name : {"control-0", "control-1", "control-2"})
@@ -206,12 +196,7 @@
     BOOST_REQUIRE(!system->leader().empty());
     BOOST_REQUIRE(system->answer(exchange) == nullptr);
     set_cut(false);
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->answer(exchange) != nullptr;
-        },
-        3s));
+    BOOST_REQUIRE(is_answered(*system, exchange, 3s));
     BOOST_TEST(
         (system->answer(exchange)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->starts(body) == 1U);
@@ -225,19 +210,9 @@
     auto const body = std::string{"12 reels"};
     auto const exchange =
         system->submit("entry-0", make_request("/stock", body));
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->starts(body) == 1U;
-        },
-        2s));
+    BOOST_REQUIRE(has_started(*system, body, 2s));
     system->freeze(system->leader(), true);
-    BOOST_REQUIRE(system->run_until(
-        [&]
-        {
-            return system->answer(exchange) != nullptr;
-        },
-        8s));
+    BOOST_REQUIRE(is_answered(*system, exchange, 8s));
     BOOST_TEST(
         (system->answer(exchange)->m_verdict.m_run == core::run_state::ran));
     BOOST_TEST(system->starts(body) == 1U);
@@ -289,12 +264,7 @@
         system->run_for(1s);
         auto const before = system->syncs(system->leader());
         system->submit("entry-0", work);
-        BOOST_REQUIRE(system->run_until(
-            [&]
-            {
-                return system->starts(body) == 1U;
-            },
-            1s));
+        BOOST_REQUIRE(has_started(*system, body, 1s));
         return system->syncs(system->leader()) - before;
     };
     for (auto const tasks : {1U, 100U, 1400U})
