--- a/tests/core/fake_system.cpp
+++ b/tests/core/fake_system.cpp
@@ -57,8 +57,9 @@
         auto made = std::make_unique<core::node>();
         made->m_id = disk->m_state.m_identity;
         made->m_name = made->m_address = name;
-        made->m_control.emplace(core::control_settings{},
-                                core::replica_settings{}, disk->m_state,
+        auto limits = core::control_settings{};
+        limits.m_snapshot_interval = m_plan.m_snapshot_interval;
+        made->m_control.emplace(limits, core::replica_settings{}, disk->m_state,
                                 core::image_codec{encode, decode}, name);
         return made;
     };
@@ -246,6 +247,17 @@
     return found == m_operator_told.end() ? nullptr : &found->second;
 }
 
+auto fake_system::messages(std::string const& type) const -> unsigned
+{
+    auto const found = m_messages.find(type);
+    return found == m_messages.end() ? 0 : found->second;
+}
+
+auto fake_system::stored_entries(std::string const& name) const -> std::size_t
+{
+    return m_processes.at(name).m_disk->m_state.m_entries.size();
+}
+
 auto fake_system::syncs(std::string const& name) const -> unsigned
 {
     auto const found = m_syncs.find(name);
@@ -370,6 +382,7 @@
 
 auto fake_system::carry(std::string const& name, core::send& sent) -> void
 {
+    ++m_messages[std::string{core::message_name(sent.m_message)}];
     auto const to = find(sent.m_to);
     if (to.empty() || is_cut(name, to))
         return;
--- a/tests/core/fake_system.hpp
+++ b/tests/core/fake_system.hpp
@@ -37,6 +37,7 @@
     core::duration m_delay_minimum = std::chrono::microseconds{200};
     core::duration m_delay_maximum = std::chrono::microseconds{500};
     core::duration m_sync_delay = std::chrono::milliseconds{3};
+    core::log_index m_snapshot_interval = 20'000;
 };
 
 /// Several nodes in one process under virtual time, with links, disks and
@@ -75,8 +76,13 @@
     [[nodiscard]] auto answer(core::exchange_id exchange) const -> told const*;
     [[nodiscard]] auto operator_answer(core::exchange_id exchange) const
         -> core::operate_result const*;
+    /// Messages of one type sent by all processes.
+    [[nodiscard]] auto messages(std::string const& type) const -> unsigned;
     /// Writes to the log of a process that were synced.
     [[nodiscard]] auto syncs(std::string const& name) const -> unsigned;
+    /// Log entries on the disk of a control replica, behind its snapshot.
+    [[nodiscard]] auto stored_entries(std::string const& name) const
+        -> std::size_t;
     [[nodiscard]] auto starts(std::string const& body) const -> unsigned;
     [[nodiscard]] auto node(std::string const& name) -> core::node&;
     [[nodiscard]] auto is_alive(std::string const& name) const -> bool;
@@ -132,6 +138,7 @@
     std::map<core::exchange_id, core::operate_result> m_operator_told;
     std::map<std::string, unsigned> m_starts;
     std::map<std::string, unsigned> m_syncs;
+    std::map<std::string, unsigned> m_messages;
     core::exchange_id m_exchange = 0;
 };
 
--- a/tests/core/test_whole_path.cpp
+++ b/tests/core/test_whole_path.cpp
@@ -278,3 +278,83 @@
     BOOST_TEST(syncs_before_start(make_request("/stock", "read"), "read") ==
                0U);
 }
+
+// Guards against messages of a job that grow by more than one order and one
+// result for each task.
+BOOST_AUTO_TEST_CASE(a_job_costs_two_messages_a_task)
+{
+    for (auto const tasks : {1U, 100U, 1400U})
+    {
+        auto const system = make_system(3);
+        auto const names = {"submit", "start", "finished", "submit_result",
+                            "forget"};
+        auto before = std::map<std::string, unsigned>{};
+        for (auto const* name : names)
+            before[name] = system->messages(name);
+        auto const exchange = system->submit("entry-0", make_job("job", tasks));
+        BOOST_REQUIRE(is_answered(*system, exchange, 60s));
+        system->run_for(3s);
+        auto const sent = [&](std::string const& name)
+        {
+            return system->messages(name) - before[name];
+        };
+        BOOST_TEST(sent("submit") == 1U);
+        BOOST_TEST(sent("start") == tasks);
+        BOOST_TEST(sent("finished") == tasks);
+        BOOST_TEST(sent("submit_result") == 1U);
+        // One message to each of the two workers, or one for each 64 results.
+        BOOST_TEST(sent("forget") <= 2 + tasks / 64);
+    }
+}
+
+// Guards against a configuration or a kept answer that a restart of the whole
+// group loses, and against a log that is not cut by snapshots.
+BOOST_AUTO_TEST_CASE(hundreds_of_changes_survive_a_restart_of_all)
+{
+    auto system = fake_system{11, {.m_snapshot_interval = 100}};
+    auto const names = {"control-0", "control-1", "control-2"};
+    for (auto const* name : names)
+        system.add_control(name);
+    system.add_entry("entry-0");
+    system.add_agent("worker-0", core::agent_kind::worker, "workers", 4);
+    system.run_for(100ms);
+    system.found();
+    auto const job = make_job("kept", 3);
+    auto const first = system.submit("entry-0", job);
+    BOOST_REQUIRE(is_answered(system, first, 5s));
+    auto change = core::change_configuration{};
+    change.m_configuration = system.node("entry-0").m_entry->config();
+    for (auto version = 1U; version <= 400; ++version)
+    {
+        change.m_request_id = "change-" + std::to_string(version);
+        change.m_expected = version;
+        change.m_configuration.m_customers[0].m_quota = version;
+        system.operate(system.leader(), change);
+        system.run_for(20ms);
+    }
+    for (auto const* name : names)
+        system.kill(name);
+    for (auto const* name : names)
+        system.restart(name);
+    BOOST_REQUIRE(system.run_until(
+        [&]
+        {
+            return !system.leader().empty();
+        },
+        10s));
+    auto const& state = system.node(system.leader()).m_control->state();
+    BOOST_TEST(state.config().m_version == 401U);
+    BOOST_TEST(state.config().m_customers[0].m_quota == 400U);
+    // A restart reads the snapshot and at most two intervals of entries.
+    for (auto const* name : names)
+        BOOST_TEST(system.stored_entries(name) <= 200U);
+    auto const again = system.submit("entry-0", job);
+    BOOST_REQUIRE(is_answered(system, again, 5s));
+    BOOST_TEST(system.answer(again)->m_answers.size() == 3U);
+    BOOST_TEST(system.starts("kept/0") == 1U);
+    system.operate(system.leader(), change);
+    system.run_for(1s);
+    BOOST_TEST(
+        system.node(system.leader()).m_control->state().config().m_version ==
+        401U);
+}
