--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -98,9 +98,4 @@
     return m_granted_at;
 }
 
-auto lease::expires_at() const -> time_point
-{
-    return m_expires_at;
-}
-
 } // namespace hickorylatch::core
--- a/src/core/lease.hpp
+++ b/src/core/lease.hpp
@@ -35,7 +35,6 @@
     [[nodiscard]] auto term() const -> term_number;
     [[nodiscard]] auto config() const -> configuration const&;
     [[nodiscard]] auto next_deadline() const -> time_point;
-    [[nodiscard]] auto expires_at() const -> time_point;
     /// Send time of the renewal that the lease counts from; 0 if there is none.
     [[nodiscard]] auto granted_at() const -> time_point;
 
