Split the reducer into model, replication, dispatch and roles

src/core was one folder of 66 files. It becomes four libraries, each with its own test program, that depend on each other in one direction: model, replication and dispatch, roles.

--- a/benchmarks/slope_leader.hpp
+++ b/benchmarks/slope_leader.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_BENCHMARKS_SLOPE_LEADER_HPP
 #define HICKORYLATCH_BENCHMARKS_SLOPE_LEADER_HPP
 
-#include "core/control.hpp"
+#include "core/roles/control.hpp"
 #include "wire/codec.hpp"
 
 #include <cstddef>
--- a/benchmarks/slope_processes.cpp
+++ b/benchmarks/slope_processes.cpp
@@ -2,8 +2,8 @@
 
 #include "slope_leader.hpp"
 
-#include "core/agent.hpp"
-#include "core/entry.hpp"
+#include "core/roles/agent.hpp"
+#include "core/roles/entry.hpp"
 #include "wire/codec.hpp"
 
 #include <memory>
--- a/src/core/admission_policy.cpp
+++ b/src/core/dispatch/admission_policy.cpp
@@ -1,4 +1,4 @@
-#include "core/admission_policy.hpp"
+#include "core/dispatch/admission_policy.hpp"
 
 #include <algorithm>
 
--- a/src/core/admission_policy.hpp
+++ b/src/core/dispatch/admission_policy.hpp
@@ -1,8 +1,8 @@
-#ifndef HICKORYLATCH_CORE_ADMISSION_POLICY_HPP
-#define HICKORYLATCH_CORE_ADMISSION_POLICY_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_ADMISSION_POLICY_HPP
+#define HICKORYLATCH_CORE_DISPATCH_ADMISSION_POLICY_HPP
 
-#include "core/verdict.hpp"
-#include "core/work_ledger.hpp"
+#include "core/dispatch/work_ledger.hpp"
+#include "core/model/verdict.hpp"
 
 #include <optional>
 #include <span>
--- a/src/core/agent_health.cpp
+++ b/src/core/dispatch/agent_health.cpp
@@ -1,4 +1,4 @@
-#include "core/agent_health.hpp"
+#include "core/dispatch/agent_health.hpp"
 
 #include <algorithm>
 
--- a/src/core/agent_health.hpp
+++ b/src/core/dispatch/agent_health.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_AGENT_HEALTH_HPP
-#define HICKORYLATCH_CORE_AGENT_HEALTH_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_AGENT_HEALTH_HPP
+#define HICKORYLATCH_CORE_DISPATCH_AGENT_HEALTH_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 
--- a/src/core/agent_table.cpp
+++ b/src/core/dispatch/agent_table.cpp
@@ -1,4 +1,4 @@
-#include "core/agent_table.hpp"
+#include "core/dispatch/agent_table.hpp"
 
 #include <algorithm>
 
--- a/src/core/agent_table.hpp
+++ b/src/core/dispatch/agent_table.hpp
@@ -1,9 +1,9 @@
-#ifndef HICKORYLATCH_CORE_AGENT_TABLE_HPP
-#define HICKORYLATCH_CORE_AGENT_TABLE_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_AGENT_TABLE_HPP
+#define HICKORYLATCH_CORE_DISPATCH_AGENT_TABLE_HPP
 
-#include "core/agent_health.hpp"
-#include "core/message.hpp"
-#include "core/service_queue.hpp"
+#include "core/dispatch/agent_health.hpp"
+#include "core/dispatch/service_queue.hpp"
+#include "core/model/message.hpp"
 
 #include <map>
 #include <set>
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1,6 +1,6 @@
-#include "core/dispatcher.hpp"
+#include "core/dispatch/dispatcher.hpp"
 
-#include "core/placement_policy.hpp"
+#include "core/dispatch/placement_policy.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -1,15 +1,15 @@
-#ifndef HICKORYLATCH_CORE_DISPATCHER_HPP
-#define HICKORYLATCH_CORE_DISPATCHER_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_DISPATCHER_HPP
+#define HICKORYLATCH_CORE_DISPATCH_DISPATCHER_HPP
 
-#include "core/admission_policy.hpp"
-#include "core/configuration.hpp"
-#include "core/ids.hpp"
-#include "core/message.hpp"
-#include "core/task_binder.hpp"
-#include "core/time.hpp"
-#include "core/verdict.hpp"
-#include "core/work_item.hpp"
-#include "core/work_ledger.hpp"
+#include "core/dispatch/admission_policy.hpp"
+#include "core/dispatch/task_binder.hpp"
+#include "core/dispatch/work_item.hpp"
+#include "core/dispatch/work_ledger.hpp"
+#include "core/model/configuration.hpp"
+#include "core/model/ids.hpp"
+#include "core/model/message.hpp"
+#include "core/model/time.hpp"
+#include "core/model/verdict.hpp"
 
 #include <cstdint>
 #include <memory>
--- a/src/core/placement_policy.cpp
+++ b/src/core/dispatch/placement_policy.cpp
@@ -1,4 +1,4 @@
-#include "core/placement_policy.hpp"
+#include "core/dispatch/placement_policy.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/placement_policy.hpp
+++ b/src/core/dispatch/placement_policy.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_PLACEMENT_POLICY_HPP
-#define HICKORYLATCH_CORE_PLACEMENT_POLICY_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_PLACEMENT_POLICY_HPP
+#define HICKORYLATCH_CORE_DISPATCH_PLACEMENT_POLICY_HPP
 
-#include "core/agent_table.hpp"
+#include "core/dispatch/agent_table.hpp"
 
 #include <span>
 #include <string>
--- a/src/core/run_time_estimator.cpp
+++ b/src/core/dispatch/run_time_estimator.cpp
@@ -1,4 +1,4 @@
-#include "core/run_time_estimator.hpp"
+#include "core/dispatch/run_time_estimator.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/service_queue.cpp
+++ b/src/core/dispatch/service_queue.cpp
@@ -1,4 +1,4 @@
-#include "core/service_queue.hpp"
+#include "core/dispatch/service_queue.hpp"
 
 #include <algorithm>
 
--- a/src/core/service_queue.hpp
+++ b/src/core/dispatch/service_queue.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_SERVICE_QUEUE_HPP
-#define HICKORYLATCH_CORE_SERVICE_QUEUE_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_SERVICE_QUEUE_HPP
+#define HICKORYLATCH_CORE_DISPATCH_SERVICE_QUEUE_HPP
 
-#include "core/work_item.hpp"
+#include "core/dispatch/work_item.hpp"
 
 #include <array>
 #include <cstddef>
--- a/src/core/task_binder.cpp
+++ b/src/core/dispatch/task_binder.cpp
@@ -1,4 +1,4 @@
-#include "core/task_binder.hpp"
+#include "core/dispatch/task_binder.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/src/core/task_binder.hpp
+++ b/src/core/dispatch/task_binder.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_TASK_BINDER_HPP
-#define HICKORYLATCH_CORE_TASK_BINDER_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_TASK_BINDER_HPP
+#define HICKORYLATCH_CORE_DISPATCH_TASK_BINDER_HPP
 
-#include "core/work_ledger.hpp"
+#include "core/dispatch/work_ledger.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/work_ledger.cpp
+++ b/src/core/dispatch/work_ledger.cpp
@@ -1,4 +1,4 @@
-#include "core/work_ledger.hpp"
+#include "core/dispatch/work_ledger.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/work_ledger.hpp
+++ b/src/core/dispatch/work_ledger.hpp
@@ -1,11 +1,11 @@
-#ifndef HICKORYLATCH_CORE_WORK_LEDGER_HPP
-#define HICKORYLATCH_CORE_WORK_LEDGER_HPP
+#ifndef HICKORYLATCH_CORE_DISPATCH_WORK_LEDGER_HPP
+#define HICKORYLATCH_CORE_DISPATCH_WORK_LEDGER_HPP
 
-#include "core/agent_table.hpp"
-#include "core/configuration.hpp"
-#include "core/run_time_estimator.hpp"
-#include "core/service_queue.hpp"
-#include "core/work_item.hpp"
+#include "core/dispatch/agent_table.hpp"
+#include "core/dispatch/run_time_estimator.hpp"
+#include "core/dispatch/service_queue.hpp"
+#include "core/dispatch/work_item.hpp"
+#include "core/model/configuration.hpp"
 
 #include <map>
 #include <optional>
--- a/src/core/command.hpp
+++ b/src/core/model/command.hpp
@@ -1,10 +1,10 @@
-#ifndef HICKORYLATCH_CORE_COMMAND_HPP
-#define HICKORYLATCH_CORE_COMMAND_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_COMMAND_HPP
+#define HICKORYLATCH_CORE_MODEL_COMMAND_HPP
 
-#include "core/configuration.hpp"
-#include "core/ids.hpp"
-#include "core/submission.hpp"
-#include "core/verdict.hpp"
+#include "core/model/configuration.hpp"
+#include "core/model/ids.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/verdict.hpp"
 
 #include <string>
 #include <variant>
--- a/src/core/configuration.cpp
+++ b/src/core/model/configuration.cpp
@@ -1,4 +1,4 @@
-#include "core/configuration.hpp"
+#include "core/model/configuration.hpp"
 
 #include <algorithm>
 
--- a/src/core/configuration.hpp
+++ b/src/core/model/configuration.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_CONFIGURATION_HPP
-#define HICKORYLATCH_CORE_CONFIGURATION_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_CONFIGURATION_HPP
+#define HICKORYLATCH_CORE_MODEL_CONFIGURATION_HPP
 
-#include "core/ids.hpp"
+#include "core/model/ids.hpp"
 
 #include <cstdint>
 #include <string>
--- a/src/core/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_EFFECT_HPP
-#define HICKORYLATCH_CORE_EFFECT_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_EFFECT_HPP
+#define HICKORYLATCH_CORE_MODEL_EFFECT_HPP
 
-#include "core/event.hpp"
+#include "core/model/event.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/event.hpp
+++ b/src/core/model/event.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_EVENT_HPP
-#define HICKORYLATCH_CORE_EVENT_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_EVENT_HPP
+#define HICKORYLATCH_CORE_MODEL_EVENT_HPP
 
-#include "core/message.hpp"
+#include "core/model/message.hpp"
 
 #include <cstdint>
 #include <variant>
--- a/src/core/message.cpp
+++ b/src/core/model/message.cpp
@@ -1,4 +1,4 @@
-#include "core/message.hpp"
+#include "core/model/message.hpp"
 
 #include <array>
 
--- a/src/core/message.hpp
+++ b/src/core/model/message.hpp
@@ -1,12 +1,12 @@
-#ifndef HICKORYLATCH_CORE_MESSAGE_HPP
-#define HICKORYLATCH_CORE_MESSAGE_HPP
-
-#include "core/command.hpp"
-#include "core/configuration.hpp"
-#include "core/ids.hpp"
-#include "core/submission.hpp"
-#include "core/time.hpp"
-#include "core/verdict.hpp"
+#ifndef HICKORYLATCH_CORE_MODEL_MESSAGE_HPP
+#define HICKORYLATCH_CORE_MODEL_MESSAGE_HPP
+
+#include "core/model/command.hpp"
+#include "core/model/configuration.hpp"
+#include "core/model/ids.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/time.hpp"
+#include "core/model/verdict.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/random_source.cpp
+++ b/src/core/model/random_source.cpp
@@ -1,6 +1,6 @@
-#include "core/random_source.hpp"
+#include "core/model/random_source.hpp"
 
-#include "core/traceparent.hpp"
+#include "core/model/traceparent.hpp"
 
 namespace hickorylatch::core
 {
--- a/src/core/random_source.hpp
+++ b/src/core/model/random_source.hpp
@@ -1,8 +1,8 @@
-#ifndef HICKORYLATCH_CORE_RANDOM_SOURCE_HPP
-#define HICKORYLATCH_CORE_RANDOM_SOURCE_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_RANDOM_SOURCE_HPP
+#define HICKORYLATCH_CORE_MODEL_RANDOM_SOURCE_HPP
 
-#include "core/submission.hpp"
-#include "core/time.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 #include <random>
--- a/src/core/submission.hpp
+++ b/src/core/model/submission.hpp
@@ -1,9 +1,9 @@
-#ifndef HICKORYLATCH_CORE_SUBMISSION_HPP
-#define HICKORYLATCH_CORE_SUBMISSION_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_SUBMISSION_HPP
+#define HICKORYLATCH_CORE_MODEL_SUBMISSION_HPP
 
-#include "core/configuration.hpp"
-#include "core/ids.hpp"
-#include "core/time.hpp"
+#include "core/model/configuration.hpp"
+#include "core/model/ids.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/time.hpp
+++ b/src/core/model/time.hpp
@@ -1,5 +1,5 @@
-#ifndef HICKORYLATCH_CORE_TIME_HPP
-#define HICKORYLATCH_CORE_TIME_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_TIME_HPP
+#define HICKORYLATCH_CORE_MODEL_TIME_HPP
 
 #include <chrono>
 #include <cstdint>
--- a/src/core/traceparent.cpp
+++ b/src/core/model/traceparent.cpp
@@ -1,4 +1,4 @@
-#include "core/traceparent.hpp"
+#include "core/model/traceparent.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/core/traceparent.hpp
+++ b/src/core/model/traceparent.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_TRACEPARENT_HPP
-#define HICKORYLATCH_CORE_TRACEPARENT_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_TRACEPARENT_HPP
+#define HICKORYLATCH_CORE_MODEL_TRACEPARENT_HPP
 
-#include "core/submission.hpp"
+#include "core/model/submission.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/utf8.cpp
+++ b/src/core/model/utf8.cpp
@@ -1,4 +1,4 @@
-#include "core/utf8.hpp"
+#include "core/model/utf8.hpp"
 
 #include <boost/locale/encoding_utf.hpp>
 #include <boost/locale/utf.hpp>
--- a/src/core/utf8.hpp
+++ b/src/core/model/utf8.hpp
@@ -1,5 +1,5 @@
-#ifndef HICKORYLATCH_CORE_UTF8_HPP
-#define HICKORYLATCH_CORE_UTF8_HPP
+#ifndef HICKORYLATCH_CORE_MODEL_UTF8_HPP
+#define HICKORYLATCH_CORE_MODEL_UTF8_HPP
 
 #include <string>
 #include <string_view>
--- a/src/core/verdict.cpp
+++ b/src/core/model/verdict.cpp
@@ -1,4 +1,4 @@
-#include "core/verdict.hpp"
+#include "core/model/verdict.hpp"
 
 #include <array>
 
--- a/src/core/election.cpp
+++ b/src/core/replication/election.cpp
@@ -1,4 +1,4 @@
-#include "core/election.hpp"
+#include "core/replication/election.hpp"
 
 namespace hickorylatch::core
 {
--- a/src/core/election.hpp
+++ b/src/core/replication/election.hpp
@@ -1,8 +1,8 @@
-#ifndef HICKORYLATCH_CORE_ELECTION_HPP
-#define HICKORYLATCH_CORE_ELECTION_HPP
+#ifndef HICKORYLATCH_CORE_REPLICATION_ELECTION_HPP
+#define HICKORYLATCH_CORE_REPLICATION_ELECTION_HPP
 
-#include "core/membership.hpp"
-#include "core/time.hpp"
+#include "core/model/time.hpp"
+#include "core/replication/membership.hpp"
 
 #include <cstdint>
 #include <random>
--- a/src/core/membership.cpp
+++ b/src/core/replication/membership.cpp
@@ -1,4 +1,4 @@
-#include "core/membership.hpp"
+#include "core/replication/membership.hpp"
 
 #include <algorithm>
 
--- a/src/core/membership.hpp
+++ b/src/core/replication/membership.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_MEMBERSHIP_HPP
-#define HICKORYLATCH_CORE_MEMBERSHIP_HPP
+#ifndef HICKORYLATCH_CORE_REPLICATION_MEMBERSHIP_HPP
+#define HICKORYLATCH_CORE_REPLICATION_MEMBERSHIP_HPP
 
-#include "core/command.hpp"
+#include "core/model/command.hpp"
 
 #include <algorithm>
 #include <concepts>
--- a/src/core/replica.cpp
+++ b/src/core/replication/replica.cpp
@@ -1,6 +1,6 @@
-#include "core/replica.hpp"
+#include "core/replication/replica.hpp"
 
-#include "core/membership.hpp"
+#include "core/replication/membership.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/replica.hpp
+++ b/src/core/replication/replica.hpp
@@ -1,13 +1,13 @@
-#ifndef HICKORYLATCH_CORE_REPLICA_HPP
-#define HICKORYLATCH_CORE_REPLICA_HPP
-
-#include "core/command.hpp"
-#include "core/effect.hpp"
-#include "core/election.hpp"
-#include "core/message.hpp"
-#include "core/replica_log.hpp"
-#include "core/replication.hpp"
-#include "core/snapshot_store.hpp"
+#ifndef HICKORYLATCH_CORE_REPLICATION_REPLICA_HPP
+#define HICKORYLATCH_CORE_REPLICATION_REPLICA_HPP
+
+#include "core/model/command.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
+#include "core/replication/election.hpp"
+#include "core/replication/replica_log.hpp"
+#include "core/replication/replication.hpp"
+#include "core/replication/snapshot_store.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/core/replica_log.cpp
+++ b/src/core/replication/replica_log.cpp
@@ -1,4 +1,4 @@
-#include "core/replica_log.hpp"
+#include "core/replication/replica_log.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/replica_log.hpp
+++ b/src/core/replication/replica_log.hpp
@@ -1,8 +1,8 @@
-#ifndef HICKORYLATCH_CORE_REPLICA_LOG_HPP
-#define HICKORYLATCH_CORE_REPLICA_LOG_HPP
+#ifndef HICKORYLATCH_CORE_REPLICATION_REPLICA_LOG_HPP
+#define HICKORYLATCH_CORE_REPLICATION_REPLICA_LOG_HPP
 
-#include "core/command.hpp"
-#include "core/effect.hpp"
+#include "core/model/command.hpp"
+#include "core/model/effect.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/core/replication.cpp
+++ b/src/core/replication/replication.cpp
@@ -1,6 +1,6 @@
-#include "core/replication.hpp"
+#include "core/replication/replication.hpp"
 
-#include "core/membership.hpp"
+#include "core/replication/membership.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/replication.hpp
+++ b/src/core/replication/replication.hpp
@@ -1,10 +1,10 @@
-#ifndef HICKORYLATCH_CORE_REPLICATION_HPP
-#define HICKORYLATCH_CORE_REPLICATION_HPP
+#ifndef HICKORYLATCH_CORE_REPLICATION_REPLICATION_HPP
+#define HICKORYLATCH_CORE_REPLICATION_REPLICATION_HPP
 
-#include "core/effect.hpp"
-#include "core/message.hpp"
-#include "core/replica_log.hpp"
-#include "core/time.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
+#include "core/model/time.hpp"
+#include "core/replication/replica_log.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/core/snapshot_store.cpp
+++ b/src/core/replication/snapshot_store.cpp
@@ -1,4 +1,4 @@
-#include "core/snapshot_store.hpp"
+#include "core/replication/snapshot_store.hpp"
 
 #include <utility>
 
--- a/src/core/snapshot_store.hpp
+++ b/src/core/replication/snapshot_store.hpp
@@ -1,9 +1,9 @@
-#ifndef HICKORYLATCH_CORE_SNAPSHOT_STORE_HPP
-#define HICKORYLATCH_CORE_SNAPSHOT_STORE_HPP
+#ifndef HICKORYLATCH_CORE_REPLICATION_SNAPSHOT_STORE_HPP
+#define HICKORYLATCH_CORE_REPLICATION_SNAPSHOT_STORE_HPP
 
-#include "core/effect.hpp"
-#include "core/message.hpp"
-#include "core/replica_log.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
+#include "core/replication/replica_log.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/core/agent.cpp
+++ b/src/core/roles/agent.cpp
@@ -1,4 +1,4 @@
-#include "core/agent.hpp"
+#include "core/roles/agent.hpp"
 
 #include <algorithm>
 #include <string>
--- a/src/core/agent.hpp
+++ b/src/core/roles/agent.hpp
@@ -1,9 +1,9 @@
-#ifndef HICKORYLATCH_CORE_AGENT_HPP
-#define HICKORYLATCH_CORE_AGENT_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_AGENT_HPP
+#define HICKORYLATCH_CORE_ROLES_AGENT_HPP
 
-#include "core/effect.hpp"
-#include "core/lease.hpp"
-#include "core/random_source.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/random_source.hpp"
+#include "core/roles/lease.hpp"
 
 #include <map>
 #include <set>
--- a/src/core/control.hpp
+++ b/src/core/roles/control.hpp
@@ -1,11 +1,11 @@
-#ifndef HICKORYLATCH_CORE_CONTROL_HPP
-#define HICKORYLATCH_CORE_CONTROL_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_CONTROL_HPP
+#define HICKORYLATCH_CORE_ROLES_CONTROL_HPP
 
-#include "core/control_state.hpp"
-#include "core/coordinator.hpp"
-#include "core/effect.hpp"
-#include "core/random_source.hpp"
-#include "core/replica.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/random_source.hpp"
+#include "core/replication/replica.hpp"
+#include "core/roles/control_state.hpp"
+#include "core/roles/coordinator.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/core/control_state.cpp
+++ b/src/core/roles/control_state.cpp
@@ -1,4 +1,4 @@
-#include "core/control_state.hpp"
+#include "core/roles/control_state.hpp"
 
 #include <algorithm>
 #include <variant>
--- a/src/core/control_state.hpp
+++ b/src/core/roles/control_state.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYLATCH_CORE_CONTROL_STATE_HPP
-#define HICKORYLATCH_CORE_CONTROL_STATE_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_CONTROL_STATE_HPP
+#define HICKORYLATCH_CORE_ROLES_CONTROL_STATE_HPP
 
-#include "core/command.hpp"
+#include "core/model/command.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/core/coordinator.hpp
+++ b/src/core/roles/coordinator.hpp
@@ -1,12 +1,12 @@
-#ifndef HICKORYLATCH_CORE_COORDINATOR_HPP
-#define HICKORYLATCH_CORE_COORDINATOR_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_COORDINATOR_HPP
+#define HICKORYLATCH_CORE_ROLES_COORDINATOR_HPP
 
-#include "core/control_state.hpp"
-#include "core/dispatcher.hpp"
-#include "core/effect.hpp"
-#include "core/live_submission.hpp"
-#include "core/random_source.hpp"
-#include "core/replica.hpp"
+#include "core/dispatch/dispatcher.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/random_source.hpp"
+#include "core/replication/replica.hpp"
+#include "core/roles/control_state.hpp"
+#include "core/roles/live_submission.hpp"
 
 #include <map>
 #include <set>
--- a/src/core/coordinator_commits.cpp
+++ b/src/core/roles/coordinator_commits.cpp
@@ -1,4 +1,4 @@
-#include "core/coordinator.hpp"
+#include "core/roles/coordinator.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/entry.cpp
+++ b/src/core/roles/entry.cpp
@@ -1,4 +1,4 @@
-#include "core/entry.hpp"
+#include "core/roles/entry.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/lease.cpp
+++ b/src/core/roles/lease.cpp
@@ -1,4 +1,4 @@
-#include "core/lease.hpp"
+#include "core/roles/lease.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/lease.hpp
+++ b/src/core/roles/lease.hpp
@@ -1,8 +1,8 @@
-#ifndef HICKORYLATCH_CORE_LEASE_HPP
-#define HICKORYLATCH_CORE_LEASE_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_LEASE_HPP
+#define HICKORYLATCH_CORE_ROLES_LEASE_HPP
 
-#include "core/effect.hpp"
-#include "core/message.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
 
 #include <span>
 
--- a/src/core/live_submission.hpp
+++ b/src/core/roles/live_submission.hpp
@@ -1,10 +1,10 @@
-#ifndef HICKORYLATCH_CORE_LIVE_SUBMISSION_HPP
-#define HICKORYLATCH_CORE_LIVE_SUBMISSION_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_LIVE_SUBMISSION_HPP
+#define HICKORYLATCH_CORE_ROLES_LIVE_SUBMISSION_HPP
 
-#include "core/ids.hpp"
-#include "core/submission.hpp"
-#include "core/time.hpp"
-#include "core/verdict.hpp"
+#include "core/model/ids.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/time.hpp"
+#include "core/model/verdict.hpp"
 
 #include <cstdint>
 #include <vector>
--- a/src/core/node.cpp
+++ b/src/core/roles/node.cpp
@@ -1,4 +1,4 @@
-#include "core/node.hpp"
+#include "core/roles/node.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/node.hpp
+++ b/src/core/roles/node.hpp
@@ -1,10 +1,10 @@
-#ifndef HICKORYLATCH_CORE_NODE_HPP
-#define HICKORYLATCH_CORE_NODE_HPP
+#ifndef HICKORYLATCH_CORE_ROLES_NODE_HPP
+#define HICKORYLATCH_CORE_ROLES_NODE_HPP
 
-#include "core/agent.hpp"
-#include "core/control.hpp"
-#include "core/entry.hpp"
-#include "core/event.hpp"
+#include "core/model/event.hpp"
+#include "core/roles/agent.hpp"
+#include "core/roles/control.hpp"
+#include "core/roles/entry.hpp"
 
 #include <optional>
 #include <string>
--- a/src/core/status_document.cpp
+++ b/src/core/roles/status_document.cpp
@@ -1,4 +1,4 @@
-#include "core/control.hpp"
+#include "core/roles/control.hpp"
 
 #include <boost/json.hpp>
 
--- a/src/emulator/endpoint_server.hpp
+++ b/src/emulator/endpoint_server.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EMULATOR_ENDPOINT_SERVER_HPP
 #define HICKORYLATCH_EMULATOR_ENDPOINT_SERVER_HPP
 
-#include "core/event.hpp"
+#include "core/model/event.hpp"
 #include "emulator/endpoint_counts.hpp"
 #include "emulator/run_time_distribution.hpp"
 #include "net/event_loop.hpp"
--- a/src/emulator/load_client.cpp
+++ b/src/emulator/load_client.cpp
@@ -1,6 +1,6 @@
 #include "emulator/load_client.hpp"
 
-#include "core/traceparent.hpp"
+#include "core/model/traceparent.hpp"
 #include "emulator/echo.hpp"
 
 #include <boost/json/object.hpp>
--- a/src/emulator/load_client.hpp
+++ b/src/emulator/load_client.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EMULATOR_LOAD_CLIENT_HPP
 #define HICKORYLATCH_EMULATOR_LOAD_CLIENT_HPP
 
-#include "core/random_source.hpp"
+#include "core/model/random_source.hpp"
 #include "emulator/load_report.hpp"
 #include "emulator/run_time_distribution.hpp"
 #include "net/event_loop.hpp"
--- a/src/emulator/load_report.hpp
+++ b/src/emulator/load_report.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EMULATOR_LOAD_REPORT_HPP
 #define HICKORYLATCH_EMULATOR_LOAD_REPORT_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/emulator/run_time_distribution.hpp
+++ b/src/emulator/run_time_distribution.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EMULATOR_RUN_TIME_DISTRIBUTION_HPP
 #define HICKORYLATCH_EMULATOR_RUN_TIME_DISTRIBUTION_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 #include <random>
--- a/src/experiment/central_policy.hpp
+++ b/src/experiment/central_policy.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EXPERIMENT_CENTRAL_POLICY_HPP
 #define HICKORYLATCH_EXPERIMENT_CENTRAL_POLICY_HPP
 
-#include "core/dispatcher.hpp"
+#include "core/dispatch/dispatcher.hpp"
 #include "experiment/world.hpp"
 
 #include <cstdint>
--- a/src/experiment/scenario.hpp
+++ b/src/experiment/scenario.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_EXPERIMENT_SCENARIO_HPP
 #define HICKORYLATCH_EXPERIMENT_SCENARIO_HPP
 
-#include "core/configuration.hpp"
-#include "core/time.hpp"
+#include "core/model/configuration.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 #include <string>
--- a/src/experiment/simulator.hpp
+++ b/src/experiment/simulator.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_EXPERIMENT_SIMULATOR_HPP
 #define HICKORYLATCH_EXPERIMENT_SIMULATOR_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_NET_EVENT_LOOP_HPP
 #define HICKORYLATCH_NET_EVENT_LOOP_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <functional>
 #include <memory>
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_NET_HTTP_CLIENT_HPP
 #define HICKORYLATCH_NET_HTTP_CLIENT_HPP
 
-#include "core/time.hpp"
-#include "core/verdict.hpp"
+#include "core/model/time.hpp"
+#include "core/model/verdict.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
 #include "net/socket_address.hpp"
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_NET_HTTP_MESSAGE_HPP
 #define HICKORYLATCH_NET_HTTP_MESSAGE_HPP
 
-#include "core/event.hpp"
+#include "core/model/event.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_NET_HTTP_SERVER_HPP
 #define HICKORYLATCH_NET_HTTP_SERVER_HPP
 
-#include "core/event.hpp"
+#include "core/model/event.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
 #include "net/timer.hpp"
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_NET_PEER_LINKS_HPP
 #define HICKORYLATCH_NET_PEER_LINKS_HPP
 
-#include "core/effect.hpp"
-#include "core/message.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
 #include "net/event_loop.hpp"
 #include "net/listener.hpp"
 #include "net/peer_link.hpp"
--- a/src/net/timer.hpp
+++ b/src/net/timer.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_NET_TIMER_HPP
 #define HICKORYLATCH_NET_TIMER_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 #include "net/event_loop.hpp"
 
 #include <functional>
--- a/src/observe/logger.cpp
+++ b/src/observe/logger.cpp
@@ -1,6 +1,6 @@
 #include "observe/logger.hpp"
 
-#include "core/utf8.hpp"
+#include "core/model/utf8.hpp"
 
 #include <boost/locale/utf.hpp>
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -1,6 +1,6 @@
 #include "observe/metrics.hpp"
 
-#include "core/utf8.hpp"
+#include "core/model/utf8.hpp"
 #include "observe/metric_definition.hpp"
 
 #include <boost/histogram/axis/regular.hpp>
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_OBSERVE_METRICS_HPP
 #define HICKORYLATCH_OBSERVE_METRICS_HPP
 
-#include "core/effect.hpp"
+#include "core/model/effect.hpp"
 
 #include <cstddef>
 #include <memory>
--- a/src/observe/span_writer.cpp
+++ b/src/observe/span_writer.cpp
@@ -1,7 +1,7 @@
 #include "observe/span_writer.hpp"
 
-#include "core/traceparent.hpp"
-#include "core/utf8.hpp"
+#include "core/model/traceparent.hpp"
+#include "core/model/utf8.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- a/src/observe/span_writer.hpp
+++ b/src/observe/span_writer.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_OBSERVE_SPAN_WRITER_HPP
 #define HICKORYLATCH_OBSERVE_SPAN_WRITER_HPP
 
-#include "core/effect.hpp"
+#include "core/model/effect.hpp"
 #include "observe/open_error.hpp"
 
 #include <boost/leaf/result.hpp>
--- a/src/process/agent_calls.cpp
+++ b/src/process/agent_calls.cpp
@@ -1,6 +1,6 @@
 #include "process/agent_calls.hpp"
 
-#include "core/traceparent.hpp"
+#include "core/model/traceparent.hpp"
 
 #include <algorithm>
 #include <string>
--- a/src/process/agent_calls.hpp
+++ b/src/process/agent_calls.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_PROCESS_AGENT_CALLS_HPP
 #define HICKORYLATCH_PROCESS_AGENT_CALLS_HPP
 
-#include "core/effect.hpp"
+#include "core/model/effect.hpp"
 #include "net/http_client.hpp"
 #include "settings/settings.hpp"
 
--- a/src/process/durable_log.hpp
+++ b/src/process/durable_log.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_PROCESS_DURABLE_LOG_HPP
 #define HICKORYLATCH_PROCESS_DURABLE_LOG_HPP
 
-#include "core/effect.hpp"
-#include "core/replica.hpp"
+#include "core/model/effect.hpp"
+#include "core/replication/replica.hpp"
 #include "net/storage_worker.hpp"
 #include "storage/data_folder.hpp"
 
--- a/src/process/http_api.cpp
+++ b/src/process/http_api.cpp
@@ -1,6 +1,6 @@
 #include "process/http_api.hpp"
 
-#include "core/traceparent.hpp"
+#include "core/model/traceparent.hpp"
 #include "settings/content_digest.hpp"
 #include "settings/job_record.hpp"
 
--- a/src/process/http_api.hpp
+++ b/src/process/http_api.hpp
@@ -1,9 +1,9 @@
 #ifndef HICKORYLATCH_PROCESS_HTTP_API_HPP
 #define HICKORYLATCH_PROCESS_HTTP_API_HPP
 
-#include "core/effect.hpp"
-#include "core/submission.hpp"
-#include "core/verdict.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/verdict.hpp"
 #include "net/http_message.hpp"
 
 #include <boost/leaf/result.hpp>
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_PROCESS_PROCESS_HPP
 #define HICKORYLATCH_PROCESS_PROCESS_HPP
 
-#include "core/node.hpp"
+#include "core/roles/node.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
 #include "net/peer_links.hpp"
--- a/src/settings/configuration_record.hpp
+++ b/src/settings/configuration_record.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_SETTINGS_CONFIGURATION_RECORD_HPP
 #define HICKORYLATCH_SETTINGS_CONFIGURATION_RECORD_HPP
 
-#include "core/command.hpp"
-#include "core/configuration.hpp"
+#include "core/model/command.hpp"
+#include "core/model/configuration.hpp"
 #include "settings/parse_errors.hpp"
 
 #include <boost/leaf/result.hpp>
--- a/src/settings/content_digest.hpp
+++ b/src/settings/content_digest.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_SETTINGS_CONTENT_DIGEST_HPP
 #define HICKORYLATCH_SETTINGS_CONTENT_DIGEST_HPP
 
-#include "core/submission.hpp"
+#include "core/model/submission.hpp"
 
 #include <cstdint>
 
--- a/src/settings/job_record.cpp
+++ b/src/settings/job_record.cpp
@@ -1,6 +1,6 @@
 #include "settings/job_record.hpp"
 
-#include "core/utf8.hpp"
+#include "core/model/utf8.hpp"
 #include "settings/canonical_json.hpp"
 #include "settings/content_digest.hpp"
 #include "settings/error_collector.hpp"
--- a/src/settings/job_record.hpp
+++ b/src/settings/job_record.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_SETTINGS_JOB_RECORD_HPP
 #define HICKORYLATCH_SETTINGS_JOB_RECORD_HPP
 
-#include "core/submission.hpp"
-#include "core/verdict.hpp"
+#include "core/model/submission.hpp"
+#include "core/model/verdict.hpp"
 #include "settings/parse_errors.hpp"
 
 #include <boost/leaf/result.hpp>
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_SETTINGS_SETTINGS_HPP
 #define HICKORYLATCH_SETTINGS_SETTINGS_HPP
 
-#include "core/effect.hpp"
-#include "core/message.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
 #include "settings/parse_errors.hpp"
 
 #include <boost/leaf/result.hpp>
--- a/src/storage/commit_benchmark.hpp
+++ b/src/storage/commit_benchmark.hpp
@@ -3,7 +3,7 @@
 
 #include "storage/storage_options.hpp"
 
-#include "core/command.hpp"
+#include "core/model/command.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/storage/commit_queue.hpp
+++ b/src/storage/commit_queue.hpp
@@ -3,7 +3,7 @@
 
 #include "storage/data_folder.hpp"
 
-#include "core/command.hpp"
+#include "core/model/command.hpp"
 
 #include <condition_variable>
 #include <cstddef>
--- a/src/storage/data_folder.hpp
+++ b/src/storage/data_folder.hpp
@@ -8,8 +8,8 @@
 #include "storage/storage_error.hpp"
 #include "storage/storage_options.hpp"
 
-#include "core/effect.hpp"
-#include "core/replica.hpp"
+#include "core/model/effect.hpp"
+#include "core/replication/replica.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/storage/log_position.hpp
+++ b/src/storage/log_position.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_STORAGE_LOG_POSITION_HPP
 #define HICKORYLATCH_STORAGE_LOG_POSITION_HPP
 
-#include "core/ids.hpp"
+#include "core/model/ids.hpp"
 
 #include <optional>
 #include <vector>
--- a/src/storage/log_record.hpp
+++ b/src/storage/log_record.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_STORAGE_LOG_RECORD_HPP
 #define HICKORYLATCH_STORAGE_LOG_RECORD_HPP
 
-#include "core/effect.hpp"
-#include "core/ids.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/ids.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/storage/log_replay.hpp
+++ b/src/storage/log_replay.hpp
@@ -5,7 +5,7 @@
 #include "storage/log_record.hpp"
 #include "storage/recovery.hpp"
 
-#include "core/effect.hpp"
+#include "core/model/effect.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/storage/recovery.hpp
+++ b/src/storage/recovery.hpp
@@ -3,7 +3,7 @@
 
 #include "storage/log_position.hpp"
 
-#include "core/replica.hpp"
+#include "core/replication/replica.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -1,9 +1,9 @@
 #ifndef HICKORYLATCH_WIRE_CODEC_HPP
 #define HICKORYLATCH_WIRE_CODEC_HPP
 
-#include "core/control_state.hpp"
-#include "core/effect.hpp"
-#include "core/message.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/message.hpp"
+#include "core/roles/control_state.hpp"
 
 #include <boost/leaf/result.hpp>
 
--- a/src/wire/described_codec.hpp
+++ b/src/wire/described_codec.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_WIRE_DESCRIBED_CODEC_HPP
 #define HICKORYLATCH_WIRE_DESCRIBED_CODEC_HPP
 
-#include "core/time.hpp"
+#include "core/model/time.hpp"
 
 #include <boost/describe.hpp>
 #include <boost/mp11.hpp>
--- a/tests/core/dispatcher_fixture.hpp
+++ b/tests/core/dispatch/dispatcher_fixture.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_TESTS_CORE_DISPATCHER_FIXTURE_HPP
 #define HICKORYLATCH_TESTS_CORE_DISPATCHER_FIXTURE_HPP
 
-#include "core/dispatcher.hpp"
+#include "core/dispatch/dispatcher.hpp"
 
 #include <string>
 #include <vector>
--- a/tests/core/test_dispatcher_model.cpp
+++ b/tests/core/dispatch/test_dispatcher_model.cpp
@@ -1,4 +1,4 @@
-#include "core/dispatcher_fixture.hpp"
+#include "core/dispatch/dispatcher_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/core/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE core
-#include <boost/test/unit_test.hpp>
--- a/tests/core/replica_cluster.hpp
+++ b/tests/core/replication/replica_cluster.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYLATCH_TESTS_CORE_REPLICA_CLUSTER_HPP
 #define HICKORYLATCH_TESTS_CORE_REPLICA_CLUSTER_HPP
 
-#include "core/event.hpp"
-#include "core/replica.hpp"
+#include "core/model/event.hpp"
+#include "core/replication/replica.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/tests/core/test_replica.cpp
+++ b/tests/core/replication/test_replica.cpp
@@ -1,4 +1,4 @@
-#include "core/replica.hpp"
+#include "core/replication/replica.hpp"
 #include "replica_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/core/fake_system.cpp
+++ b/tests/core/roles/fake_system.cpp
@@ -1,4 +1,4 @@
-#include "core/fake_system.hpp"
+#include "core/roles/fake_system.hpp"
 
 #include <algorithm>
 #include <stdexcept>
--- a/tests/core/fake_system.hpp
+++ b/tests/core/roles/fake_system.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYLATCH_TESTS_CORE_FAKE_SYSTEM_HPP
 #define HICKORYLATCH_TESTS_CORE_FAKE_SYSTEM_HPP
 
-#include "core/node.hpp"
+#include "core/roles/node.hpp"
 
 #include <cstdint>
 #include <functional>
