--- a/src/core/model/command.hpp
+++ b/src/core/model/command.hpp
@@ -71,6 +71,14 @@
 BOOST_DESCRIBE_STRUCT(change_configuration, (),
                       (m_request_id, m_expected, m_configuration))
 
+/// Puts a configuration in force if its version is higher than the present
+/// one; changes nothing otherwise.
+struct install_configuration
+{
+    configuration m_configuration;
+};
+BOOST_DESCRIBE_STRUCT(install_configuration, (), (m_configuration))
+
 /// Forgets ended submissions that ended before the given time.
 struct expire_keys
 {
@@ -99,9 +107,9 @@
 
 /// What the replicated log holds. Order is part of the stored format: new
 /// alternatives go to the end.
-using command =
-    std::variant<begin_term, accept_submission, reallot, end_submission,
-                 change_configuration, expire_keys, change_membership>;
+using command = std::variant<begin_term, accept_submission, reallot,
+                             end_submission, change_configuration, expire_keys,
+                             change_membership, install_configuration>;
 
 /// One entry of the replicated log.
 struct log_entry
--- a/src/core/model/configuration.hpp
+++ b/src/core/model/configuration.hpp
@@ -39,10 +39,40 @@
     std::uint32_t m_queue_limit = 10'000;
     /// Deadline of a request that names none, in milliseconds.
     std::uint32_t m_default_deadline_ms = 30'000;
+    /// Its workers refuse what does not fit. Otherwise they start whatever they
+    /// are told to.
+    bool m_has_guards = false;
 };
 BOOST_DESCRIBE_STRUCT(service, (),
                       (m_name, m_idempotent_paths, m_queue_limit,
-                       m_default_deadline_ms))
+                       m_default_deadline_ms, m_has_guards))
+
+/// Where step jobs are posted: a host and a path prefix that lead to the
+/// workers of one service.
+struct job_queue
+{
+    std::string m_name;
+    std::string m_host;
+    std::string m_path_prefix;
+    std::string m_service;
+    /// Order of service between queues; 0 comes first.
+    std::uint32_t m_rank = 0;
+    /// Longest time to an answer, in milliseconds.
+    std::uint32_t m_timeout_ms = 0;
+    /// A job is on time within its longest chain of run times multiplied by
+    /// `m_slack_factor`, and `m_latency_ms` milliseconds more.
+    double m_slack_factor = 1.0;
+    std::uint32_t m_latency_ms = 0;
+    /// Failed runs of one task after which its job has failed.
+    std::uint32_t m_run_limit = 1;
+    /// Names a feature that the queue needs and this version lacks; empty if
+    /// there is none.
+    std::string m_unsupported;
+};
+BOOST_DESCRIBE_STRUCT(job_queue, (),
+                      (m_name, m_host, m_path_prefix, m_service, m_rank,
+                       m_timeout_ms, m_slack_factor, m_latency_ms, m_run_limit,
+                       m_unsupported))
 
 /// What operators have put in force, as one versioned record.
 struct configuration
@@ -52,15 +82,26 @@
     std::vector<service> m_services;
     /// Names of endpoints and workers that get no new work.
     std::vector<std::string> m_drained;
+    std::vector<job_queue> m_queues;
+    /// The record as its operator wrote it, to be read back; empty if it was
+    /// not written in the form of an adapter.
+    std::string m_document;
 };
 BOOST_DESCRIBE_STRUCT(configuration, (),
-                      (m_version, m_customers, m_services, m_drained))
+                      (m_version, m_customers, m_services, m_drained, m_queues,
+                       m_document))
 
 [[nodiscard]] auto find_customer(configuration const& config,
                                  std::string_view name) -> customer const*;
 [[nodiscard]] auto find_service(configuration const& config,
                                 std::string_view name) -> service const*;
 
+/// The queue with this host and the longest prefix of the path; null if there
+/// is none.
+[[nodiscard]] auto find_queue(configuration const& config,
+                              std::string_view host, std::string_view path)
+    -> job_queue const*;
+
 /// True if a request with this path may safely run more than once.
 [[nodiscard]] auto is_idempotent(service const& target, std::string_view path)
     -> bool;
--- a/src/core/model/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -98,6 +98,76 @@
     attempt_id m_attempt;
 };
 
+enum class job_state : std::uint8_t
+{
+    queued,
+    active,
+    completed,
+    failed,
+    cancelled
+};
+
+[[nodiscard]] auto to_string(job_state state) -> std::string_view;
+
+/// Answers a client that posted a step job or asked for its state.
+struct answer_job
+{
+    exchange_id m_exchange = 0;
+    /// `ran` if the job is known; its state is the answer.
+    verdict m_verdict;
+    job_state m_state = job_state::failed;
+};
+
+/// Answers a client that asked how many jobs of a queue wait.
+struct answer_pending
+{
+    exchange_id m_exchange = 0;
+    verdict m_verdict;
+    std::uint64_t m_pending = 0;
+};
+
+/// What each order to a worker names.
+struct worker_target
+{
+    std::string m_worker;
+    /// Generation of this agent; a worker does nothing for a lower one than it
+    /// has seen.
+    std::uint64_t m_fencing_token = 0;
+};
+
+/// Tells the worker beside this agent to start a run. `run_start_answered`
+/// follows.
+struct start_run
+{
+    worker_target m_target;
+    worker_run m_run;
+    std::string m_body;
+    /// Time on the worker's clock, in milliseconds, until which everything
+    /// that runs there may run.
+    std::int64_t m_lease_until_ms = 0;
+};
+
+/// Tells the worker to stop a run. `run_stop_answered` follows.
+struct stop_run
+{
+    worker_target m_target;
+    worker_run m_run;
+};
+
+/// Asks the worker for its runs and ends, and extends their lease.
+/// `runs_polled` with the same number follows.
+struct poll_runs
+{
+    std::uint64_t m_poll = 0;
+    worker_target m_target;
+    /// Ends up to this number need not be listed again.
+    std::uint64_t m_acknowledged = 0;
+    /// 0 leaves the lease as it is.
+    std::int64_t m_lease_until_ms = 0;
+    /// The worker answers after this time or at the next end.
+    std::uint32_t m_wait_ms = 0;
+};
+
 /// Replaces the node's one timer.
 struct set_timer
 {
@@ -154,7 +224,8 @@
 using effect =
     std::variant<send, append_log, save_snapshot, reply, reply_operator,
                  start_call, cancel_call, set_timer, keep_links, log_line,
-                 record_span, observe_metric, exit_process>;
+                 record_span, observe_metric, exit_process, answer_job,
+                 answer_pending, start_run, stop_run, poll_runs>;
 
 using effects = std::vector<effect>;
 
--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -3,8 +3,12 @@
 
 #include "core/model/message.hpp"
 
+#include <compare>
 #include <cstdint>
+#include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 namespace hickorylatch::core
 {
@@ -83,6 +87,114 @@
     task_answer m_answer;
 };
 
+/// A client posted a step job.
+struct job_arrived
+{
+    exchange_id m_exchange = 0;
+    std::string m_host;
+    std::string m_path;
+    step_job m_job;
+    /// How long the client waits, in milliseconds; 0 if it did not say.
+    std::uint32_t m_client_wait_ms = 0;
+};
+
+/// What a client asks about jobs that were posted.
+enum class job_question : std::uint8_t
+{
+    state,
+    cancel,
+    pending
+};
+
+/// A client asks about a job, or about a queue if the identifier is empty.
+struct job_asked
+{
+    exchange_id m_exchange = 0;
+    job_question m_question = job_question::state;
+    std::string m_host;
+    std::string m_path;
+    std::string m_job_id;
+};
+
+/// The worker beside this agent reported itself. A report that could not be
+/// understood is not an event.
+struct worker_reported
+{
+    worker_report m_report;
+};
+
+/// The worker says that this lifetime ends.
+struct worker_left
+{
+    std::string m_name;
+};
+
+/// A run of a task of a job at a worker. The worker knows jobs by the
+/// identifiers that their clients chose.
+struct worker_run
+{
+    std::string m_job_id;
+    task_index m_task;
+    std::uint32_t m_run = 0;
+
+    auto operator<=>(worker_run const&) const = default;
+};
+
+/// How a worker answered an order.
+enum class worker_answer : std::uint8_t
+{
+    accepted,
+    fenced,         ///< It has seen a higher fencing token.
+    outdated,       ///< This run or a later one has ended there.
+    late,           ///< The lease of the order had run out.
+    no_room,        ///< It guards its capacity.
+    unhealthy,      ///< It did nothing.
+    other_lifetime, ///< Another lifetime answered and did nothing.
+    invalid,        ///< It could not read the order.
+    unreachable,    ///< The order was never sent.
+    unknown         ///< No answer: it may be carried out later.
+};
+
+[[nodiscard]] auto to_string(worker_answer answer) -> std::string_view;
+
+/// A worker answered `start_run`.
+struct run_start_answered
+{
+    worker_run m_run;
+    worker_answer m_answer = worker_answer::unknown;
+    /// The worker's clock in milliseconds; 0 if it gave none.
+    std::int64_t m_clock_ms = 0;
+};
+
+/// A worker answered `stop_run`.
+struct run_stop_answered
+{
+    worker_run m_run;
+    worker_answer m_answer = worker_answer::unknown;
+    std::int64_t m_clock_ms = 0;
+};
+
+/// A run that has ended at a worker.
+struct ended_run
+{
+    /// Position in the worker's list of ends, from 1 in each lifetime.
+    std::uint64_t m_number = 0;
+    worker_run m_run;
+    run_outcome m_outcome = run_outcome::failed;
+};
+
+/// A worker answered `poll_runs`.
+struct runs_polled
+{
+    std::uint64_t m_poll = 0;
+    worker_answer m_answer = worker_answer::unknown;
+    std::int64_t m_clock_ms = 0;
+    /// Lifetime that answered; 0 if it did not say.
+    std::int64_t m_incarnation = 0;
+    std::vector<worker_run> m_running;
+    std::vector<ended_run> m_ended;
+};
+
 /// SIGTERM or an operator asked for a graceful shutdown.
 struct stop_requested
 {
@@ -98,7 +210,9 @@
     std::variant<started, timer_fired, peer_connected, peer_disconnected,
                  message_received, log_synced, snapshot_saved, request_arrived,
                  request_abandoned, operator_arrived, call_finished,
-                 stop_requested, clock_read>;
+                 stop_requested, clock_read, job_arrived, job_asked,
+                 worker_reported, worker_left, run_start_answered,
+                 run_stop_answered, runs_polled>;
 
 } // namespace hickorylatch::core
 
--- /dev/null
+++ b/src/core/model/job.cpp
@@ -0,0 +1,49 @@
+#include "core/model/job.hpp"
+
+#include <algorithm>
+
+namespace hickorylatch::core
+{
+
+auto resources::operator+=(resources const& other) -> resources&
+{
+    m_millicores += other.m_millicores;
+    m_memory_mb += other.m_memory_mb;
+    m_accelerators += other.m_accelerators;
+    return *this;
+}
+
+auto resources::operator-=(resources const& other) -> resources&
+{
+    m_millicores -= std::min(m_millicores, other.m_millicores);
+    m_memory_mb -= std::min(m_memory_mb, other.m_memory_mb);
+    m_accelerators -= std::min(m_accelerators, other.m_accelerators);
+    return *this;
+}
+
+auto resources::fits(resources const& wanted) const -> bool
+{
+    return wanted.m_millicores <= m_millicores &&
+           wanted.m_memory_mb <= m_memory_mb &&
+           wanted.m_accelerators <= m_accelerators;
+}
+
+auto to_string(run_outcome outcome) -> std::string_view
+{
+    switch (outcome)
+    {
+    case run_outcome::succeeded:
+        return "succeeded";
+    case run_outcome::failed:
+        return "failed";
+    case run_outcome::stopped:
+        return "stopped";
+    case run_outcome::lapsed:
+        return "lapsed";
+    case run_outcome::refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/model/job.hpp
@@ -0,0 +1,121 @@
+#ifndef HICKORYLATCH_CORE_MODEL_JOB_HPP
+#define HICKORYLATCH_CORE_MODEL_JOB_HPP
+
+#include "core/model/ids.hpp"
+
+#include <boost/describe.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+/// Room that a task takes or a worker has.
+struct resources
+{
+    /// Thousandths of a processor core.
+    std::uint32_t m_millicores = 0;
+    std::uint32_t m_memory_mb = 0;
+    std::uint32_t m_accelerators = 0;
+
+    auto operator==(resources const&) const -> bool = default;
+    auto operator+=(resources const& other) -> resources&;
+    /// Stops at zero.
+    auto operator-=(resources const& other) -> resources&;
+    /// True if each part of `wanted` is at most the part here.
+    [[nodiscard]] auto fits(resources const& wanted) const -> bool;
+};
+BOOST_DESCRIBE_STRUCT(resources, (),
+                      (m_millicores, m_memory_mb, m_accelerators))
+
+/// A group of equal tasks of a job.
+struct job_step
+{
+    std::uint32_t m_count = 1;
+    /// Room for each task.
+    resources m_needs;
+    /// Declared run time of each task in milliseconds; rough, 0 if unknown.
+    std::uint32_t m_declared_ms = 0;
+    /// Numbers of earlier steps that must have succeeded first.
+    std::vector<std::uint32_t> m_depends_on;
+    /// Label that the worker must have; empty for none.
+    std::string m_required_label;
+    /// Rack that holds the data; empty for none. Elsewhere tasks run longer.
+    std::string m_data_rack;
+    /// Tasks of this step on one worker at most; 0 for no limit.
+    std::uint32_t m_worker_limit = 0;
+};
+BOOST_DESCRIBE_STRUCT(job_step, (),
+                      (m_count, m_needs, m_declared_ms, m_depends_on,
+                       m_required_label, m_data_rack, m_worker_limit))
+
+/// A job of steps for the workers of one service.
+struct step_job
+{
+    /// Chosen by the client; names the job in all queues.
+    std::string m_id;
+    /// Passed to each task as it is.
+    std::string m_body;
+    std::vector<job_step> m_steps;
+    /// Must survive the loss of any process: stored before it is accepted.
+    bool m_is_durable = false;
+    /// Names a feature that the job needs and this version lacks; empty if
+    /// there is none.
+    std::string m_unsupported;
+};
+BOOST_DESCRIBE_STRUCT(step_job, (),
+                      (m_id, m_body, m_steps, m_is_durable, m_unsupported))
+
+/// One task within a job.
+struct task_index
+{
+    std::uint32_t m_step = 0;
+    std::uint32_t m_task = 0;
+
+    auto operator<=>(task_index const&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(task_index, (), (m_step, m_task))
+
+/// What a worker says of itself.
+struct worker_report
+{
+    std::string m_name;
+    /// Start of this lifetime, Unix milliseconds. A restarted worker may keep
+    /// its name but not this.
+    std::int64_t m_incarnation = 0;
+    std::string m_service;
+    resources m_capacity;
+    /// Its kind and its rack, among others.
+    std::vector<std::string> m_labels;
+    /// False while it drains.
+    bool m_is_accepting = true;
+    /// The worker's steady clock when it reported, in milliseconds.
+    std::int64_t m_clock_ms = 0;
+    /// Counts the reports of one lifetime; a late one has a smaller number.
+    std::uint64_t m_sequence = 0;
+
+    auto operator==(worker_report const&) const -> bool = default;
+};
+BOOST_DESCRIBE_STRUCT(worker_report, (),
+                      (m_name, m_incarnation, m_service, m_capacity, m_labels,
+                       m_is_accepting, m_clock_ms, m_sequence))
+
+/// How one run of a task ended.
+enum class run_outcome : std::uint8_t
+{
+    succeeded,
+    failed,  ///< By its own fault or the worker's.
+    stopped, ///< On request.
+    lapsed,  ///< Its lease ran out, or the worker is gone.
+    refused  ///< It never started.
+};
+
+[[nodiscard]] auto to_string(run_outcome outcome) -> std::string_view;
+
+} // namespace hickorylatch::core
+
+#endif
--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -31,7 +31,14 @@
                                          "install_snapshot",
                                          "install_reply",
                                          "found_group",
-                                         "hand_over"});
+                                         "hand_over",
+                                         "process_list",
+                                         "worker_announcement",
+                                         "worker_load",
+                                         "contact_confirmed",
+                                         "order_runs",
+                                         "withdraw_runs",
+                                         "runs_ended"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(content.index());
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -4,6 +4,7 @@
 #include "core/model/command.hpp"
 #include "core/model/configuration.hpp"
 #include "core/model/ids.hpp"
+#include "core/model/job.hpp"
 #include "core/model/submission.hpp"
 #include "core/model/time.hpp"
 #include "core/model/verdict.hpp"
@@ -40,10 +41,13 @@
     /// It has an entry or an agent, which serve by the configuration. A process
     /// may be that and a control replica.
     bool m_needs_configuration = false;
+    /// It serves by the newest configuration it has heard of, from whichever
+    /// replica, and needs no leader to do so.
+    bool m_follows_any_replica = false;
 };
 BOOST_DESCRIBE_STRUCT(hello, (),
                       (m_node, m_role, m_name, m_address, m_cluster, m_secret,
-                       m_needs_configuration))
+                       m_needs_configuration, m_follows_any_replica))
 
 // Entry and control leader.
 
@@ -131,8 +135,17 @@
 };
 BOOST_DESCRIBE_STRUCT(found_control_group, (), (m_members))
 
+/// Asks for the configuration in force, confirmed by a quorum after the
+/// question was asked.
+struct read_configuration
+{
+    std::uint64_t m_unused = 0;
+};
+BOOST_DESCRIBE_STRUCT(read_configuration, (), (m_unused))
+
 using operation = std::variant<query_status, change_configuration, cancel_job,
-                               change_membership, found_control_group>;
+                               change_membership, found_control_group,
+                               install_configuration, read_configuration>;
 
 struct operate
 {
@@ -397,6 +410,145 @@
 };
 BOOST_DESCRIBE_STRUCT(found_group, (), (m_cluster, m_members))
 
+// Entry and agent, without control.
+
+/// Where other processes accept links, as far as the sending replica knows.
+struct process_list
+{
+    std::vector<std::string> m_controls;
+    std::vector<std::string> m_entries;
+
+    auto operator==(process_list const&) const -> bool = default;
+};
+BOOST_DESCRIBE_STRUCT(process_list, (), (m_controls, m_entries))
+
+/// One run of a task of an entry's job.
+struct run_ref
+{
+    /// The entry's number of the job.
+    std::uint64_t m_job = 0;
+    task_index m_task;
+    /// Counts the runs of the task, from 1.
+    std::uint32_t m_run = 0;
+
+    auto operator<=>(run_ref const&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(run_ref, (), (m_job, m_task, m_run))
+
+/// What an agent's worker is, and the runs of the receiver's tasks that the
+/// agent holds. First message of an agent on a link to an entry, and sent again
+/// on each change.
+struct worker_announcement
+{
+    worker_report m_worker;
+    std::string m_failure_domain;
+    std::vector<run_ref> m_runs;
+    /// Last order of the receiver that `m_runs` takes into account.
+    std::uint64_t m_order = 0;
+};
+BOOST_DESCRIBE_STRUCT(worker_announcement, (),
+                      (m_worker, m_failure_domain, m_runs, m_order))
+
+/// How long a task of a queue's rank would wait for room.
+struct rank_wait
+{
+    std::uint32_t m_rank = 0;
+    std::uint32_t m_wait_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(rank_wait, (), (m_rank, m_wait_ms))
+
+enum class acceptance : std::uint8_t
+{
+    none,  ///< Takes no new runs.
+    trial, ///< Failed lately; takes one run at a time to show that it works.
+    full
+};
+
+/// Room at a worker and its queue, from its agent.
+struct worker_load
+{
+    acceptance m_accepts = acceptance::none;
+    resources m_free;
+    /// Ranks with tasks in the agent's queue, in order of service.
+    std::vector<rank_wait> m_waits;
+    /// Run time of a task here over the one expected anywhere, in thousandths.
+    std::uint32_t m_slowness_permille = 1000;
+    /// Last order of the receiver that is taken into account.
+    std::uint64_t m_order = 0;
+    /// Send time by the agent's clock, echoed in `contact_confirmed`.
+    time_point m_sent_at{0};
+};
+BOOST_DESCRIBE_STRUCT(worker_load, (),
+                      (m_accepts, m_free, m_waits, m_slowness_permille, m_order,
+                       m_sent_at))
+
+/// An entry still wants its runs. An agent that is not told so in time stops
+/// them.
+struct contact_confirmed
+{
+    /// Send time of the load that it answers.
+    time_point m_sent_at{0};
+    /// Last number of `runs_ended` that arrived.
+    std::uint64_t m_ends = 0;
+};
+BOOST_DESCRIBE_STRUCT(contact_confirmed, (), (m_sent_at, m_ends))
+
+struct run_order
+{
+    task_index m_task;
+    std::uint32_t m_run = 0;
+    resources m_needs;
+    /// Expected run time on a worker of common speed, in milliseconds.
+    std::uint32_t m_expected_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(run_order, (), (m_task, m_run, m_needs, m_expected_ms))
+
+/// Orders runs of tasks of one job. Each is answered by an end.
+struct order_runs
+{
+    /// Counts the orders of this entry to this agent, from 1.
+    std::uint64_t m_order = 0;
+    std::uint64_t m_job = 0;
+    std::string m_job_id;
+    std::string m_body;
+    std::uint32_t m_rank = 0;
+    /// Time left to the end of the run, in milliseconds. A run that can't end
+    /// in time is refused.
+    std::uint32_t m_time_left_ms = 0;
+    std::vector<run_order> m_runs;
+};
+BOOST_DESCRIBE_STRUCT(order_runs, (),
+                      (m_order, m_job, m_job_id, m_body, m_rank, m_time_left_ms,
+                       m_runs))
+
+/// Takes runs back: those that wait are refused, the others are stopped. Each
+/// is answered by an end, as if nothing had been taken back.
+struct withdraw_runs
+{
+    std::vector<run_ref> m_runs;
+};
+BOOST_DESCRIBE_STRUCT(withdraw_runs, (), (m_runs))
+
+struct run_end
+{
+    run_ref m_run;
+    run_outcome m_outcome = run_outcome::refused;
+    /// Why it was refused.
+    reason m_reason = reason::none;
+    /// Run time in milliseconds, if it ran.
+    std::uint32_t m_run_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(run_end, (), (m_run, m_outcome, m_reason, m_run_ms))
+
+/// Ends of the receiver's runs. Sent again on a new link until confirmed.
+struct runs_ended
+{
+    /// Counts these messages of the agent to this entry, from 1.
+    std::uint64_t m_number = 0;
+    std::vector<run_end> m_ends;
+};
+BOOST_DESCRIBE_STRUCT(runs_ended, (), (m_number, m_ends))
+
 /// Everything that travels between processes of the system. The position of
 /// an alternative is its number on the wire: new ones go to the end.
 using message =
@@ -404,7 +556,9 @@
                  operate_result, announce, welcome, start, finished,
                  stop_attempt, forget, renew, renewed, configuration_changed,
                  vote_request, vote_reply, append_request, append_reply,
-                 install_snapshot, install_reply, found_group, hand_over>;
+                 install_snapshot, install_reply, found_group, hand_over,
+                 process_list, worker_announcement, worker_load,
+                 contact_confirmed, order_runs, withdraw_runs, runs_ended>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
--- /dev/null
+++ b/src/core/placement/broker.cpp
@@ -0,0 +1,521 @@
+#include "core/placement/broker.hpp"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Runs of an agent that is out of contact end at the latest when the agent has
+// given this entry up (500 ms) and its worker's lease, by a slow clock, has run
+// out after that; the rest is for the stops that the agent sends.
+constexpr auto agent_contact_timeout = duration{std::chrono::milliseconds{500}};
+constexpr auto stop_margin = duration{std::chrono::milliseconds{150}};
+constexpr auto slowest_clock_percent = 103;
+// A quarter of the agents' timeout: one lost confirmation does no harm.
+constexpr auto confirm_interval = duration{std::chrono::milliseconds{100}};
+// Tasks without a worker look again this often, when a load may have come.
+constexpr auto retry_interval = duration{std::chrono::milliseconds{20}};
+// A job of a client that does not say how long it waits.
+constexpr auto default_wait = duration{std::chrono::seconds{30}};
+// Balancers ask once a second and act on the second miss; a job that they
+// still send here is served, or its client would wait to send it again.
+constexpr auto leave_time = duration{std::chrono::milliseconds{2500}};
+// Room is there again after about one task of common length.
+constexpr auto busy_retry_ms = std::uint32_t{1000};
+constexpr auto draining_retry_ms = std::uint32_t{1};
+
+auto job_verdict(run_state state, reason why) -> verdict
+{
+    return {state, why, {}, 0};
+}
+
+auto to_ms(duration value) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(value, duration{0}))
+            .count());
+}
+
+auto node_field(node_id node) -> std::string
+{
+    return std::to_string(static_cast<std::uint64_t>(node));
+}
+
+} // namespace
+
+broker::broker(broker_settings settings)
+    : m_settings{std::move(settings)}, m_links{m_settings.m_seeds, false}
+{
+    m_workers.set_spread_factor(m_settings.m_spread_factor);
+}
+
+auto broker::connected(time_point now, hello const& peer) -> void
+{
+    if (peer.m_role != role::agent)
+        return;
+    m_workers.connected(peer.m_node);
+    auto& contact = m_agents[peer.m_node];
+    contact.m_is_connected = true;
+    contact.m_confirmed_at = std::max(contact.m_confirmed_at, now);
+    contact.m_gone_at = never;
+}
+
+auto broker::disconnected(time_point now, node_id peer) -> void
+{
+    auto const found = m_agents.find(peer);
+    if (found == m_agents.end())
+        return;
+    m_workers.disconnected(peer);
+    auto& contact = found->second;
+    contact.m_is_connected = false;
+    contact.m_gone_at =
+        std::max(now, contact.m_confirmed_at + agent_contact_timeout +
+                          m_settings.m_lease * slowest_clock_percent / 100 +
+                          stop_margin);
+}
+
+auto broker::receive(time_point now, node_id from, message const& incoming,
+                     random_source& random, effects& out) -> void
+{
+    if (auto const* load = std::get_if<worker_load>(&incoming))
+        on(now, from, *load, out);
+    else if (auto const* ends = std::get_if<runs_ended>(&incoming))
+        on(now, from, *ends, random, out);
+    else if (auto const* news = std::get_if<worker_announcement>(&incoming))
+        on(now, from, *news, random, out);
+    else if (auto const* change = std::get_if<configuration_changed>(&incoming))
+        on(*change, out);
+    else if (auto const* known = std::get_if<process_list>(&incoming))
+        m_links.follow(from, *known, out);
+}
+
+auto broker::on(configuration_changed const& change, effects& out) -> void
+{
+    // Replicas may lag; what was once in force never comes back.
+    if (change.m_configuration.m_version <= m_configuration.m_version)
+        return;
+    out.emplace_back(log_line{
+        log_level::info,
+        "configuration_adopted",
+        {{"version", std::to_string(change.m_configuration.m_version)},
+         {"before", std::to_string(m_configuration.m_version)},
+         {"queues", std::to_string(change.m_configuration.m_queues.size())}}});
+    m_configuration = change.m_configuration;
+}
+
+auto broker::on(time_point now, node_id from, worker_announcement const& news,
+                random_source& random, effects& out) -> void
+{
+    m_workers.announce(now, from, news);
+    auto const found = m_agents.find(from);
+    if (found == m_agents.end())
+        return;
+    // Orders that were lost with an earlier link are not listed.
+    auto const jobs = found->second.m_jobs;
+    for (auto const number : jobs)
+    {
+        auto const job = m_jobs.find(number);
+        if (job == m_jobs.end())
+            continue;
+        auto is_changed = false;
+        for (auto& task : job->second.tasks())
+        {
+            auto const ref = job->second.ref(task);
+            auto const is_lost =
+                task.m_state == task_state::placed && task.m_agent == from &&
+                (task.m_order <= news.m_order ||
+                 task.m_order > m_workers.last_order(from)) &&
+                std::ranges::find(news.m_runs, ref) == news.m_runs.end();
+            if (!is_lost)
+                continue;
+            job->second.came_back(task);
+            is_changed = true;
+        }
+        if (is_changed)
+            carry_on(now, job, random, out);
+    }
+}
+
+auto broker::on(time_point now, node_id from, worker_load const& load,
+                effects& out) -> void
+{
+    m_workers.update(now, from, load);
+    auto const found = m_agents.find(from);
+    if (found == m_agents.end())
+        return;
+    auto& contact = found->second;
+    if (now - contact.m_confirmed_at < confirm_interval)
+        return;
+    contact.m_confirmed_at = now;
+    out.emplace_back(
+        send{from, contact_confirmed{load.m_sent_at, contact.m_ends}});
+}
+
+auto broker::on(time_point now, node_id from, runs_ended const& news,
+                random_source& random, effects& out) -> void
+{
+    auto const found = m_agents.find(from);
+    if (found == m_agents.end() || news.m_number <= found->second.m_ends)
+        return;
+    found->second.m_ends = news.m_number;
+    for (auto const& end : news.m_ends)
+        take_end(now, from, end, random, out);
+}
+
+auto broker::take_end(time_point now, node_id agent, run_end const& end,
+                      random_source& random, effects& out) -> void
+{
+    auto const job = m_jobs.find(end.m_run.m_job);
+    if (job == m_jobs.end())
+        return;
+    auto* const task = job->second.find(end.m_run.m_task);
+    if (task == nullptr || task->m_state != task_state::placed ||
+        task->m_run != end.m_run.m_run || task->m_agent != agent)
+        return;
+    if (end.m_outcome != run_outcome::refused)
+        job->second.note_started();
+    if (end.m_outcome == run_outcome::succeeded)
+    {
+        auto const declared =
+            std::chrono::milliseconds{job->second.step(*task).m_declared_ms};
+        m_ratios[job->second.queue().m_name].observe(
+            declared, std::chrono::milliseconds{end.m_run_ms},
+            m_workers.slowness(agent));
+        job->second.succeeded(*task);
+        if (job->second.is_complete())
+            finish(now, job, job_verdict(run_state::ran, reason::none),
+                   job_state::completed, out);
+        else
+            carry_on(now, job, random, out);
+        return;
+    }
+    out.emplace_back(
+        log_line{log_level::info,
+                 "run_came_back",
+                 {{"job", job->second.job().m_id},
+                  {"task", std::to_string(task->m_index.m_step) + "." +
+                               std::to_string(task->m_index.m_task)},
+                  {"run", std::to_string(end.m_run.m_run)},
+                  {"agent", node_field(agent)},
+                  {"outcome", std::string{to_string(end.m_outcome)}},
+                  {"reason", std::string{to_string(end.m_reason)}},
+                  {"ran_ms", std::to_string(end.m_run_ms)}}});
+    job->second.came_back(*task);
+    if (end.m_outcome == run_outcome::failed)
+    {
+        task->m_avoided.push_back(agent);
+        if (++task->m_failures >= job->second.queue().m_run_limit)
+        {
+            fail(now, job, reason::call_failed, out);
+            return;
+        }
+    }
+    carry_on(now, job, random, out);
+}
+
+auto broker::carry_on(time_point now, live_jobs::iterator job,
+                      random_source& random, effects& out) -> void
+{
+    if (place(now, job->second, random, out))
+        m_unplaced.erase(job->first);
+    else
+    {
+        m_unplaced.insert(job->first);
+        m_retry_at = std::min(m_retry_at, now + retry_interval);
+    }
+}
+
+auto broker::refusal(time_point now, job_arrived const& request,
+                     job_queue const* queue) const -> verdict
+{
+    if (now >= m_refuse_at)
+        return refused(reason::draining, {}, draining_retry_ms);
+    if (m_configuration.m_version == 0)
+        return refused(reason::lease_expired, "no configuration yet",
+                       busy_retry_ms);
+    if (queue == nullptr)
+        return refused(reason::unknown_service, "no such queue");
+    if (!request.m_job.m_unsupported.empty())
+        return refused(reason::invalid, request.m_job.m_unsupported);
+    if (!queue->m_unsupported.empty())
+        return refused(reason::invalid, queue->m_unsupported);
+    if (request.m_job.m_is_durable)
+        return refused(reason::invalid, "durable jobs are not taken yet");
+    if (!m_workers.has_usable(now, queue->m_service))
+        return refused(reason::no_capacity, "no worker can be reached",
+                       busy_retry_ms);
+    return job_verdict(run_state::ran, reason::none);
+}
+
+auto broker::arrived(time_point now, job_arrived const& request,
+                     random_source& random, effects& out) -> void
+{
+    auto const* queue =
+        find_queue(m_configuration, request.m_host, request.m_path);
+    auto const outcome = refusal(now, request, queue);
+    if (outcome.m_run != run_state::ran)
+    {
+        out.emplace_back(
+            log_line{log_level::info,
+                     "job_refused",
+                     {{"job", request.m_job.m_id},
+                      {"reason", std::string{to_string(outcome.m_reason)}},
+                      {"detail", outcome.m_detail},
+                      {"version", std::to_string(m_configuration.m_version)}}});
+        out.emplace_back(
+            answer_job{request.m_exchange, outcome, job_state::failed});
+        return;
+    }
+    auto wait =
+        request.m_client_wait_ms != 0
+            ? duration{std::chrono::milliseconds{request.m_client_wait_ms}}
+            : default_wait;
+    if (queue->m_timeout_ms != 0)
+        wait = std::min(
+            wait, duration{std::chrono::milliseconds{queue->m_timeout_ms}});
+    auto const number = ++m_last_job;
+    auto const job = m_jobs
+                         .emplace(number, placed_job{number, request, *queue,
+                                                     now, now + wait})
+                         .first;
+    m_exchanges[request.m_exchange] = number;
+    m_by_id[request.m_job.m_id] = number;
+    m_deadlines.emplace(now + wait, number);
+    carry_on(now, job, random, out);
+}
+
+auto broker::place(time_point now, placed_job& job, random_source& random,
+                   effects& out) -> bool
+{
+    auto orders = std::map<node_id, order_runs>{};
+    auto is_whole = true;
+    auto const& queue = job.queue();
+    auto const ratio = m_ratios.find(queue.m_name);
+    for (auto& task : job.tasks())
+    {
+        if (task.m_state != task_state::ready)
+            continue;
+        auto const& step = job.step(task);
+        auto const declared = std::chrono::milliseconds{step.m_declared_ms};
+        auto wanted = placement_request{};
+        wanted.m_service = queue.m_service;
+        wanted.m_rank = queue.m_rank;
+        wanted.m_step = &step;
+        wanted.m_expected = ratio == m_ratios.end()
+                                ? duration{declared}
+                                : ratio->second.expected(declared);
+        wanted.m_avoided = task.m_avoided;
+        auto const choice = m_workers.choose(now, wanted, random);
+        if (!choice)
+        {
+            is_whole = false;
+            continue;
+        }
+        auto const agent = choice->m_agent;
+        auto& order = orders[agent];
+        if (order.m_order == 0)
+        {
+            order.m_order = m_workers.next_order(agent);
+            order.m_job = job.number();
+            order.m_job_id = job.job().m_id;
+            order.m_body = job.job().m_body;
+            order.m_rank = queue.m_rank;
+            order.m_time_left_ms = to_ms(job.deadline() - now);
+        }
+        ++task.m_run;
+        job.ordered(task, agent, order.m_order);
+        order.m_runs.push_back(
+            {task.m_index, task.m_run, step.m_needs, to_ms(wanted.m_expected)});
+        m_workers.ordered(agent, order.m_order, step.m_needs,
+                          wanted.m_expected);
+        m_agents[agent].m_jobs.insert(job.number());
+    }
+    for (auto& [agent, order] : orders)
+        out.emplace_back(send{agent, std::move(order)});
+    return is_whole;
+}
+
+auto broker::asked(job_asked const& request, effects& out) -> void
+{
+    auto const* queue =
+        find_queue(m_configuration, request.m_host, request.m_path);
+    auto const unknown =
+        refused(m_configuration.m_version == 0 ? reason::lease_expired
+                                               : reason::unknown_service);
+    auto const known = job_verdict(run_state::ran, reason::none);
+    if (request.m_question == job_question::pending)
+    {
+        auto const waiting = std::ranges::count_if(
+            m_jobs,
+            [&](auto const& each)
+            {
+                return queue != nullptr &&
+                       each.second.queue().m_name == queue->m_name &&
+                       !each.second.may_have_started();
+            });
+        out.emplace_back(answer_pending{request.m_exchange,
+                                        queue == nullptr ? unknown : known,
+                                        static_cast<std::uint64_t>(waiting)});
+        return;
+    }
+    auto const found = m_by_id.find(request.m_job_id);
+    auto const is_known = queue != nullptr && found != m_by_id.end();
+    out.emplace_back(
+        answer_job{request.m_exchange,
+                   queue == nullptr ? unknown
+                   : is_known       ? known
+                              : refused(reason::key_forgotten, "no such job"),
+                   job_state::active});
+}
+
+auto broker::abandoned(time_point now, exchange_id exchange, effects& out)
+    -> void
+{
+    auto const found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    auto const job = m_jobs.find(found->second);
+    finish(now, job, job_verdict(run_state::may_have_run, reason::cancelled),
+           job_state::cancelled, out);
+}
+
+auto broker::fail(time_point now, live_jobs::iterator job, reason why,
+                  effects& out) -> void
+{
+    auto const is_untouched =
+        !job->second.may_have_started() &&
+        std::ranges::none_of(job->second.tasks(),
+                             [](placed_task const& task)
+                             {
+                                 return task.m_state == task_state::placed;
+                             });
+    auto const outcome = is_untouched ? refused(why, {}, busy_retry_ms)
+                                      : job_verdict(run_state::ran, why);
+    finish(now, job, outcome, job_state::failed, out);
+}
+
+auto broker::finish(time_point now, live_jobs::iterator job, verdict outcome,
+                    job_state state, effects& out) -> void
+{
+    auto const& ended = job->second;
+    out.emplace_back(log_line{
+        state == job_state::completed ? log_level::debug : log_level::info,
+        "job_ended",
+        {{"job", ended.job().m_id},
+         {"queue", ended.queue().m_name},
+         {"state", std::string{to_string(state)}},
+         {"verdict", std::string{to_string(outcome.m_run)}},
+         {"reason", std::string{to_string(outcome.m_reason)}},
+         {"age_ms", std::to_string(to_ms(now - ended.arrived()))}}});
+    withdraw(ended, out);
+    out.emplace_back(answer_job{ended.exchange(), outcome, state});
+    m_exchanges.erase(ended.exchange());
+    if (auto const by_id = m_by_id.find(ended.job().m_id);
+        by_id != m_by_id.end() && by_id->second == job->first)
+        m_by_id.erase(by_id);
+    m_deadlines.erase({ended.deadline(), job->first});
+    m_unplaced.erase(job->first);
+    for (auto& [agent, contact] : m_agents)
+        contact.m_jobs.erase(job->first);
+    m_jobs.erase(job);
+}
+
+auto broker::withdraw(placed_job const& job, effects& out) -> void
+{
+    auto orders = std::map<node_id, withdraw_runs>{};
+    for (auto const& task : job.tasks())
+        if (task.m_state == task_state::placed)
+            orders[task.m_agent].m_runs.push_back(job.ref(task));
+    for (auto& [agent, order] : orders)
+        out.emplace_back(send{agent, std::move(order)});
+}
+
+auto broker::lose_runs(time_point now, node_id agent, random_source& random,
+                       effects& out) -> void
+{
+    auto const jobs = std::exchange(m_agents.at(agent).m_jobs, {});
+    for (auto const number : jobs)
+    {
+        auto const job = m_jobs.find(number);
+        if (job == m_jobs.end())
+            continue;
+        for (auto& task : job->second.tasks())
+            if (task.m_state == task_state::placed && task.m_agent == agent)
+                job->second.came_back(task);
+        carry_on(now, job, random, out);
+    }
+}
+
+auto broker::tick(time_point now, random_source& random, effects& out) -> void
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
+        fail(now, m_jobs.find(m_deadlines.begin()->second), reason::deadline,
+             out);
+    auto gone = std::vector<node_id>{};
+    for (auto const& [agent, contact] : m_agents)
+        if (contact.m_gone_at <= now)
+            gone.push_back(agent);
+    for (auto const agent : gone)
+    {
+        lose_runs(now, agent, random, out);
+        m_agents.erase(agent);
+    }
+    if (now < m_retry_at)
+        return;
+    m_retry_at = never;
+    auto const unplaced = m_unplaced;
+    for (auto const number : unplaced)
+        carry_on(now, m_jobs.find(number), random, out);
+}
+
+auto broker::stop(time_point now) -> void
+{
+    if (m_refuse_at == never)
+        m_refuse_at = now + leave_time;
+}
+
+auto broker::is_ready(time_point now) const -> bool
+{
+    return m_refuse_at == never && m_configuration.m_version != 0 &&
+           m_workers.has_any_usable(now);
+}
+
+auto broker::is_idle(time_point now) const -> bool
+{
+    return now >= m_refuse_at && m_jobs.empty();
+}
+
+auto broker::next_deadline() const -> time_point
+{
+    auto first = std::min(m_retry_at, m_refuse_at);
+    if (!m_deadlines.empty())
+        first = std::min(first, m_deadlines.begin()->first);
+    for (auto const& [agent, contact] : m_agents)
+        first = std::min(first, contact.m_gone_at);
+    return first;
+}
+
+auto broker::config() const -> configuration const&
+{
+    return m_configuration;
+}
+
+auto broker::jobs() const -> std::size_t
+{
+    return m_jobs.size();
+}
+
+auto broker::workers() const -> worker_directory const&
+{
+    return m_workers;
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/broker.hpp
@@ -0,0 +1,123 @@
+#ifndef HICKORYLATCH_CORE_PLACEMENT_BROKER_HPP
+#define HICKORYLATCH_CORE_PLACEMENT_BROKER_HPP
+
+#include "core/model/configuration.hpp"
+#include "core/model/effect.hpp"
+#include "core/model/random_source.hpp"
+#include "core/placement/link_targets.hpp"
+#include "core/placement/placed_job.hpp"
+#include "core/placement/run_time_ratio.hpp"
+#include "core/placement/worker_directory.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+struct broker_settings
+{
+    /// Addresses of control replicas to begin with.
+    std::vector<std::string> m_seeds;
+    /// How much longer a task runs away from the rack with its data.
+    double m_spread_factor = 1.0;
+    /// Longest lease that a worker grants.
+    duration m_lease = std::chrono::milliseconds{1000};
+};
+
+/// Takes step jobs that need not survive this process, places their tasks on
+/// workers through the agents beside them, and answers when they have ended.
+/// Works by the last configuration heard of and needs no control replica.
+class broker
+{
+public:
+    explicit broker(broker_settings settings);
+
+    auto connected(time_point now, hello const& peer) -> void;
+    auto disconnected(time_point now, node_id peer) -> void;
+    auto receive(time_point now, node_id from, message const& incoming,
+                 random_source& random, effects& out) -> void;
+    auto arrived(time_point now, job_arrived const& request,
+                 random_source& random, effects& out) -> void;
+    auto asked(job_asked const& request, effects& out) -> void;
+    auto abandoned(time_point now, exchange_id exchange, effects& out) -> void;
+    auto tick(time_point now, random_source& random, effects& out) -> void;
+    /// Jobs are taken for a while more, until balancers have noticed.
+    auto stop(time_point now) -> void;
+
+    /// True if a balancer may send callers here.
+    [[nodiscard]] auto is_ready(time_point now) const -> bool;
+    /// True once a stop was asked for and every job is answered.
+    [[nodiscard]] auto is_idle(time_point now) const -> bool;
+    [[nodiscard]] auto next_deadline() const -> time_point;
+    [[nodiscard]] auto config() const -> configuration const&;
+    [[nodiscard]] auto jobs() const -> std::size_t;
+    [[nodiscard]] auto workers() const -> worker_directory const&;
+
+private:
+    /// What an agent's silence does to the runs it holds.
+    struct agent_contact
+    {
+        bool m_is_connected = false;
+        std::uint64_t m_ends = 0;
+        /// Last time that runs there were confirmed to be wanted.
+        time_point m_confirmed_at{0};
+        /// When all runs there have certainly ended; `never` while connected.
+        time_point m_gone_at = never;
+        std::set<std::uint64_t> m_jobs;
+    };
+
+    using live_jobs = std::map<std::uint64_t, placed_job>;
+
+    auto on(time_point now, node_id from, worker_announcement const& news,
+            random_source& random, effects& out) -> void;
+    auto on(time_point now, node_id from, worker_load const& load, effects& out)
+        -> void;
+    auto on(time_point now, node_id from, runs_ended const& news,
+            random_source& random, effects& out) -> void;
+    auto on(configuration_changed const& change, effects& out) -> void;
+    auto take_end(time_point now, node_id agent, run_end const& end,
+                  random_source& random, effects& out) -> void;
+    [[nodiscard]] auto refusal(time_point now, job_arrived const& request,
+                               job_queue const* queue) const -> verdict;
+
+    /// Orders every task that may start now. False if some task finds no
+    /// worker.
+    auto place(time_point now, placed_job& job, random_source& random,
+               effects& out) -> bool;
+    auto lose_runs(time_point now, node_id agent, random_source& random,
+                   effects& out) -> void;
+    /// Places what came back, or ends the job if that is of no use.
+    auto carry_on(time_point now, live_jobs::iterator job,
+                  random_source& random, effects& out) -> void;
+    auto fail(time_point now, live_jobs::iterator job, reason why, effects& out)
+        -> void;
+    auto finish(time_point now, live_jobs::iterator job, verdict outcome,
+                job_state state, effects& out) -> void;
+    auto withdraw(placed_job const& job, effects& out) -> void;
+
+    broker_settings m_settings;
+    link_targets m_links;
+    configuration m_configuration;
+    worker_directory m_workers;
+    std::map<node_id, agent_contact> m_agents;
+    live_jobs m_jobs;
+    std::map<std::string, std::uint64_t, std::less<>> m_by_id;
+    std::map<exchange_id, std::uint64_t> m_exchanges;
+    /// Jobs with tasks that found no worker.
+    std::set<std::uint64_t> m_unplaced;
+    time_point m_retry_at = never;
+    std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
+    std::map<std::string, run_time_ratio, std::less<>> m_ratios;
+    std::uint64_t m_last_job = 0;
+    /// When jobs are no longer taken; `never` unless a stop was asked for.
+    time_point m_refuse_at = never;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/placement/executor.cpp
@@ -0,0 +1,864 @@
+#include "core/placement/executor.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// An entry that has not confirmed contact for this long may have given its
+// runs to other workers. Must be shorter than a client's delay before it sends
+// a job again.
+constexpr auto contact_timeout = duration{std::chrono::milliseconds{500}};
+// A start that gets no answer may be carried out until its own lease has run
+// out; a short one tells sooner that it was not. The next poll extends it.
+constexpr auto start_lease = duration{std::chrono::milliseconds{350}};
+// The worker answers a poll at the next end or after this time. Shorter than
+// the time in which a silent worker should be noticed, a third of the lease.
+constexpr auto poll_wait = duration{std::chrono::milliseconds{300}};
+// Delay before a worker that did not answer is asked again; doubles each time.
+constexpr auto poll_retry = duration{std::chrono::milliseconds{50}};
+constexpr auto poll_retry_max = duration{std::chrono::milliseconds{500}};
+constexpr auto stop_retry = duration{std::chrono::milliseconds{200}};
+// Loads that changed are sent at most this often, one message for several
+// changes.
+constexpr auto load_interval = duration{std::chrono::milliseconds{20}};
+// Loads that did not change renew the contact, three times within its timeout.
+constexpr auto idle_load_interval = duration{std::chrono::milliseconds{150}};
+// A run that takes this much longer than expected makes no progress. Declared
+// run times are commonly wrong by a factor of 1.5.
+constexpr auto hang_factor = 4.0;
+constexpr auto hang_grace = duration{std::chrono::milliseconds{100}};
+// A worker's slowness follows about this many of its last runs.
+constexpr auto slowness_weight = 1.0 / 24;
+constexpr auto slowness_limit = 8.0;
+
+auto to_milliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+auto run_field(std::string const& job, task_index task, std::uint32_t run)
+    -> std::string
+{
+    return job + "." + std::to_string(task.m_step) + "." +
+           std::to_string(task.m_task) + "#" + std::to_string(run);
+}
+
+} // namespace
+
+executor::executor(executor_settings settings)
+    : m_settings{std::move(settings)}, m_links{m_settings.m_seeds, true}
+{
+}
+
+auto executor::connected(time_point now, hello const& peer, effects& out)
+    -> void
+{
+    if (peer.m_role != role::entry)
+        return;
+    auto& entry = m_contacts[peer.m_node];
+    entry.m_is_connected = true;
+    entry.m_is_announced = false;
+    // Numbers of orders count per link.
+    entry.m_order = 0;
+    settle(now, out);
+}
+
+auto executor::disconnected(node_id peer) -> void
+{
+    if (auto const found = m_contacts.find(peer); found != m_contacts.end())
+        found->second.m_is_connected = false;
+}
+
+auto executor::receive(time_point now, node_id from, message const& incoming,
+                       effects& out) -> void
+{
+    if (auto const* order = std::get_if<order_runs>(&incoming))
+        on(now, from, *order);
+    else if (auto const* back = std::get_if<withdraw_runs>(&incoming))
+        on(now, from, *back, out);
+    else if (auto const* news = std::get_if<contact_confirmed>(&incoming))
+        on(now, from, *news);
+    else if (auto const* known = std::get_if<process_list>(&incoming))
+        m_links.follow(from, *known, out);
+    else
+        return;
+    settle(now, out);
+}
+
+auto executor::on(time_point now, node_id from, order_runs const& order) -> void
+{
+    auto const found = m_contacts.find(from);
+    if (found == m_contacts.end())
+        return;
+    auto& entry = found->second;
+    entry.m_order = order.m_order;
+    m_is_load_due = true;
+    auto job = std::make_shared<ordered_job>();
+    job->m_entry = from;
+    job->m_id = order.m_job_id;
+    job->m_body = order.m_body;
+    job->m_rank = order.m_rank;
+    job->m_deadline = now + std::chrono::milliseconds{order.m_time_left_ms};
+    for (auto const& each : order.m_runs)
+    {
+        auto run = waiting_run{};
+        run.m_job = job;
+        run.m_ref = {order.m_job, each.m_task, each.m_run};
+        run.m_needs = each.m_needs;
+        run.m_expected = std::chrono::milliseconds{each.m_expected_ms};
+        run.m_queued_at = now;
+        m_probe = each.m_needs;
+        if (accepts(now) == acceptance::none)
+            report_end(run,
+                       m_is_stopping ? reason::draining : reason::no_capacity);
+        else if (entry.m_until <= now)
+            report_end(run, reason::lease_expired);
+        else if (!m_worker->m_capacity.fits(run.m_needs))
+            report_end(run, reason::no_capacity);
+        else
+            m_queue.add(std::move(run));
+    }
+}
+
+auto executor::on(time_point now, node_id from, withdraw_runs const& order,
+                  effects& out) -> void
+{
+    for (auto const& wanted : order.m_runs)
+    {
+        if (auto const waiting = m_queue.take(from, wanted))
+        {
+            report_end(*waiting, reason::cancelled);
+            continue;
+        }
+        auto const found = std::ranges::find_if(
+            m_live,
+            [&](auto const& each)
+            {
+                return each.second.m_job->m_entry == from &&
+                       each.second.m_ref == wanted;
+            });
+        if (found != m_live.end())
+            order_stop(now, *found, out);
+    }
+    m_is_load_due = true;
+}
+
+auto executor::on(time_point now, node_id from, contact_confirmed const& news)
+    -> void
+{
+    auto const found = m_contacts.find(from);
+    if (found == m_contacts.end())
+        return;
+    auto& entry = found->second;
+    entry.m_until = std::max(entry.m_until, news.m_sent_at + contact_timeout);
+    entry.m_is_expired = entry.m_until <= now;
+    while (!entry.m_unconfirmed.empty() &&
+           entry.m_unconfirmed.front().m_number <= news.m_ends)
+        entry.m_unconfirmed.pop_front();
+}
+
+auto executor::reported(time_point now, worker_report const& report,
+                        effects& out) -> void
+{
+    auto const is_same = m_worker && m_worker->m_name == report.m_name &&
+                         m_worker->m_incarnation == report.m_incarnation;
+    if (m_worker && !is_same)
+    {
+        // A delayed report of an earlier lifetime.
+        if (report.m_incarnation < m_worker->m_incarnation && m_is_reachable)
+            return;
+        out.emplace_back(
+            log_line{log_level::info,
+                     "worker_replaced",
+                     {{"worker", m_worker->m_name},
+                      {"by", report.m_name},
+                      {"runs_lost", std::to_string(m_live.size())}}});
+        lose_worker(now, out);
+        m_worker.reset();
+    }
+    if (is_same && report.m_sequence <= m_worker->m_sequence)
+        return;
+    if (!m_worker)
+        begin_lifetime(now, report, out);
+    auto const is_changed = report.m_is_accepting != m_worker->m_is_accepting ||
+                            report.m_capacity != m_worker->m_capacity ||
+                            report.m_labels != m_worker->m_labels ||
+                            report.m_service != m_worker->m_service;
+    m_clock.observe(now, report.m_clock_ms);
+    m_worker = report;
+    if (is_changed)
+    {
+        out.emplace_back(
+            log_line{log_level::info,
+                     "worker_changed",
+                     {{"worker", report.m_name},
+                      {"accepting", report.m_is_accepting ? "yes" : "no"},
+                      {"sequence", std::to_string(report.m_sequence)}}});
+        for (auto& [node, entry] : m_contacts)
+            entry.m_is_announced = false;
+    }
+    settle(now, out);
+}
+
+auto executor::begin_lifetime(time_point now, worker_report const& report,
+                              effects& out) -> void
+{
+    m_worker = report;
+    m_clock.reset();
+    m_clock.observe(now, report.m_clock_ms);
+    // The worker's clock only rises in its lifetime, so a restarted agent gets
+    // a higher token than the one before it.
+    m_token = static_cast<std::uint64_t>(
+        std::max(report.m_clock_ms, std::int64_t{1}));
+    m_acknowledged = 0;
+    m_lease_until_ms = 0;
+    m_is_reachable = true;
+    m_health = {};
+    m_slowness = 1.0;
+    m_probe = {};
+    // Runs of an earlier process of this agent are found by the first poll.
+    m_has_unacknowledged = true;
+    for (auto& [node, entry] : m_contacts)
+        entry.m_is_announced = false;
+    out.emplace_back(log_line{
+        log_level::info,
+        "worker_joined",
+        {{"worker", report.m_name},
+         {"incarnation", std::to_string(report.m_incarnation)},
+         {"service", report.m_service},
+         {"millicores", std::to_string(report.m_capacity.m_millicores)},
+         {"token", std::to_string(m_token)}}});
+}
+
+auto executor::left(time_point now, worker_left const& news, effects& out)
+    -> void
+{
+    if (!m_worker || m_worker->m_name != news.m_name)
+        return;
+    out.emplace_back(log_line{log_level::info,
+                              "worker_left",
+                              {{"worker", news.m_name},
+                               {"runs_lost", std::to_string(m_live.size())}}});
+    lose_worker(now, out);
+    m_worker->m_is_accepting = false;
+    m_is_reachable = false;
+    settle(now, out);
+}
+
+auto executor::lose_worker(time_point now, effects& out) -> void
+{
+    while (!m_live.empty())
+        finish(now, m_live.begin(), run_outcome::lapsed, reason::agent_lost,
+               out);
+    while (m_queue.size() != 0)
+    {
+        report_end(m_queue.all().begin()->second, reason::no_capacity);
+        m_queue.erase(m_queue.all().begin());
+    }
+    m_is_load_due = true;
+}
+
+auto executor::answered(time_point now, run_start_answered const& answer,
+                        effects& out) -> void
+{
+    m_clock.observe(now, answer.m_clock_ms);
+    auto const found =
+        m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
+    if (found == m_live.end() || found->second.m_number != answer.m_run.m_run ||
+        found->second.m_state != run_state::starting)
+        return;
+    auto& run = found->second;
+    m_is_load_due = true;
+    switch (answer.m_answer)
+    {
+    case worker_answer::accepted:
+        confirm_start(now, *found, out);
+        break;
+    case worker_answer::unknown:
+        run.m_state = run_state::unsure;
+        break;
+    case worker_answer::fenced:
+        m_token =
+            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+        order_start(now, *found, out);
+        break;
+    case worker_answer::outdated:
+        ++run.m_number;
+        order_start(now, *found, out);
+        break;
+    case worker_answer::late:
+        order_start(now, *found, out);
+        break;
+    default:
+        out.emplace_back(
+            log_line{log_level::warning,
+                     "run_not_started",
+                     {{"run", run_field(answer.m_run.m_job_id,
+                                        answer.m_run.m_task, run.m_number)},
+                      {"answer", std::string{to_string(answer.m_answer)}}}});
+        finish(now, found, run_outcome::refused, reason::no_capacity, out);
+    }
+    settle(now, out);
+}
+
+auto executor::answered(time_point now, run_stop_answered const& answer,
+                        effects& out) -> void
+{
+    m_clock.observe(now, answer.m_clock_ms);
+    if (answer.m_answer == worker_answer::fenced)
+        m_token =
+            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+    settle(now, out);
+}
+
+auto executor::answered(time_point now, runs_polled const& answer, effects& out)
+    -> void
+{
+    if (answer.m_poll != m_poll || m_poll_sent_at == never)
+        return;
+    auto const sent_at = std::exchange(m_poll_sent_at, never);
+    m_poll_at = now;
+    if (answer.m_answer == worker_answer::accepted && m_worker &&
+        (answer.m_incarnation == 0 ||
+         answer.m_incarnation == m_worker->m_incarnation))
+    {
+        if (!std::exchange(m_is_reachable, true))
+        {
+            m_is_load_due = true;
+            out.emplace_back(log_line{log_level::info,
+                                      "worker_regained",
+                                      {{"worker", m_worker->m_name}}});
+        }
+        m_clock.observe(now, answer.m_clock_ms);
+        m_poll_delay = {};
+        m_poll_sent_at = sent_at;
+        for (auto const& ended : answer.m_ended)
+            take_end(now, ended, out);
+        check_listed(now, answer, out);
+        m_poll_sent_at = never;
+    }
+    else
+    {
+        m_clock.observe(now, answer.m_clock_ms);
+        m_poll_delay = std::clamp(2 * m_poll_delay, poll_retry, poll_retry_max);
+        m_poll_at = now + m_poll_delay;
+        if (answer.m_answer == worker_answer::fenced)
+            m_token = std::max(m_token + 1,
+                               static_cast<std::uint64_t>(m_clock.at(now)));
+        else if (std::exchange(m_is_reachable, false))
+        {
+            m_is_load_due = true;
+            out.emplace_back(
+                log_line{log_level::warning,
+                         "worker_unreachable",
+                         {{"worker", m_worker ? m_worker->m_name : ""},
+                          {"answer", std::string{to_string(answer.m_answer)}},
+                          {"running", std::to_string(m_live.size())}}});
+        }
+        // Another lifetime answers: nothing of the old one runs any more.
+        auto const is_gone = answer.m_answer == worker_answer::other_lifetime ||
+                             answer.m_answer == worker_answer::accepted;
+        if (is_gone)
+            lose_worker(now, out);
+    }
+    settle(now, out);
+}
+
+auto executor::take_end(time_point now, ended_run const& ended, effects& out)
+    -> void
+{
+    if (ended.m_number <= m_acknowledged)
+        return;
+    m_acknowledged = ended.m_number;
+    m_has_unacknowledged = true;
+    auto const found = m_live.find({ended.m_run.m_job_id, ended.m_run.m_task});
+    if (found == m_live.end() || found->second.m_number != ended.m_run.m_run)
+        return;
+    finish(now, found, ended.m_outcome, reason::none, out);
+}
+
+auto executor::check_listed(time_point now, runs_polled const& answer,
+                            effects& out) -> void
+{
+    auto listed = std::map<live_key, std::uint32_t>{};
+    for (auto const& each : answer.m_running)
+    {
+        listed[{each.m_job_id, each.m_task}] = each.m_run;
+        auto const found = m_live.find({each.m_job_id, each.m_task});
+        if (found == m_live.end() || found->second.m_number != each.m_run)
+            stop_stray(each, out);
+        else if (found->second.m_state == run_state::unsure)
+            confirm_start(now, *found, out);
+    }
+    for (auto each = m_live.begin(); each != m_live.end();)
+    {
+        auto const current = each++;
+        auto const& run = current->second;
+        auto const is_settled = run.m_state == run_state::running ||
+                                run.m_state == run_state::stopping;
+        if (is_settled && run.m_started_at < m_poll_sent_at &&
+            !listed.contains(current->first))
+            finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
+    }
+}
+
+auto executor::stop_stray(worker_run const& stray, effects& out) -> void
+{
+    out.emplace_back(log_line{
+        log_level::warning,
+        "stray_run_stopped",
+        {{"run", run_field(stray.m_job_id, stray.m_task, stray.m_run)}}});
+    out.emplace_back(stop_run{target(), stray});
+}
+
+auto executor::dispatch(time_point now, effects& out) -> void
+{
+    auto next = m_queue.all().begin();
+    while (next != m_queue.all().end())
+    {
+        auto const& run = next->second;
+        if (!free_room().fits(run.m_needs))
+            return;
+        auto const key = live_key{run.m_job->m_id, run.m_ref.m_task};
+        if (auto const older = m_live.find(key); older != m_live.end())
+        {
+            // The job was sent again to another entry; one run at a time.
+            order_stop(now, *older, out);
+            ++next;
+            continue;
+        }
+        start(now, run, out);
+        next = m_queue.erase(next);
+    }
+}
+
+auto executor::start(time_point now, waiting_run const& next, effects& out)
+    -> void
+{
+    auto run = live_run{};
+    run.m_job = next.m_job;
+    run.m_ref = next.m_ref;
+    run.m_needs = next.m_needs;
+    run.m_expected = next.m_expected;
+    run.m_number = next.m_ref.m_run;
+    auto const started = m_live.emplace(
+        live_key{next.m_job->m_id, next.m_ref.m_task}, std::move(run));
+    m_health.bound();
+    order_start(now, *started.first, out);
+    m_is_load_due = true;
+}
+
+auto executor::order_start(time_point now, live_runs::value_type& started,
+                           effects& out) -> void
+{
+    auto& run = started.second;
+    run.m_state = run_state::starting;
+    run.m_started_at = now;
+    run.m_lease_until_ms = m_clock.at(now) + to_milliseconds(start_lease);
+    m_lease_until_ms = std::max(m_lease_until_ms, run.m_lease_until_ms);
+    out.emplace_back(
+        start_run{target(),
+                  {started.first.first, started.first.second, run.m_number},
+                  run.m_job->m_body,
+                  run.m_lease_until_ms});
+}
+
+auto executor::confirm_start(time_point now, live_runs::value_type& started,
+                             effects& out) -> void
+{
+    started.second.m_state = run_state::running;
+    if (started.second.m_is_unwanted)
+        order_stop(now, started, out);
+}
+
+auto executor::order_stop(time_point now, live_runs::value_type& wanted,
+                          effects& out) -> void
+{
+    auto& run = wanted.second;
+    // A start without an answer can't be stopped before it shows up.
+    run.m_is_unwanted = true;
+    if (run.m_state != run_state::running)
+        return;
+    run.m_state = run_state::stopping;
+    run.m_stop_again_at = now + stop_retry;
+    out.emplace_back(stop_run{
+        target(), {wanted.first.first, wanted.first.second, run.m_number}});
+}
+
+auto executor::finish(time_point now, live_runs::iterator ended,
+                      run_outcome outcome, reason why, effects& out) -> void
+{
+    static_cast<void>(out);
+    auto const run = std::move(ended->second);
+    m_live.erase(ended);
+    m_is_load_due = true;
+    learn(now, run, outcome);
+    auto const contact = m_contacts.find(run.m_job->m_entry);
+    if (contact == m_contacts.end())
+        return;
+    auto report = run_end{};
+    report.m_run = run.m_ref;
+    report.m_outcome = run.m_is_hung && outcome != run_outcome::succeeded
+                           ? run_outcome::failed
+                           : outcome;
+    report.m_reason = run.m_is_hung ? reason::deadline : why;
+    report.m_run_ms =
+        static_cast<std::uint32_t>(to_milliseconds(now - run.m_started_at));
+    contact->second.m_new_ends.push_back(report);
+}
+
+auto executor::learn(time_point now, live_run const& ended, run_outcome outcome)
+    -> void
+{
+    if (outcome == run_outcome::succeeded)
+    {
+        m_health.succeeded(now);
+        if (ended.m_expected <= duration{0})
+            return;
+        auto const factor =
+            std::min(std::chrono::duration<double>(now - ended.m_started_at) /
+                         std::chrono::duration<double>(ended.m_expected),
+                     slowness_limit);
+        m_slowness += (factor - m_slowness) * slowness_weight;
+    }
+    else if (outcome == run_outcome::failed || ended.m_is_hung)
+        m_health.failed(now);
+    else
+        m_health.released();
+}
+
+auto executor::report_end(waiting_run const& refused, reason why) -> void
+{
+    auto const contact = m_contacts.find(refused.m_job->m_entry);
+    if (contact == m_contacts.end())
+        return;
+    contact->second.m_new_ends.push_back(
+        {refused.m_ref, run_outcome::refused, why, 0});
+}
+
+auto executor::tick(time_point now, effects& out) -> void
+{
+    check_runs(now, out);
+    check_contacts(now, out);
+    settle(now, out);
+}
+
+auto executor::check_runs(time_point now, effects& out) -> void
+{
+    // Without a poll that is answered, the lease runs out and everything ends.
+    auto const lapse_at = m_clock.certainly_reached(m_lease_until_ms);
+    if (!m_is_reachable && !m_live.empty() && now >= lapse_at)
+    {
+        out.emplace_back(log_line{log_level::warning,
+                                  "runs_lapsed",
+                                  {{"worker", m_worker ? m_worker->m_name : ""},
+                                   {"runs", std::to_string(m_live.size())}}});
+        lose_worker(now, out);
+        return;
+    }
+    for (auto each = m_live.begin(); each != m_live.end();)
+    {
+        auto const current = each++;
+        auto& run = current->second;
+        if (run.m_state == run_state::unsure &&
+            now >= m_clock.certainly_reached(run.m_lease_until_ms))
+        {
+            finish(now, current, run_outcome::refused, reason::agent_lost, out);
+            continue;
+        }
+        if (run.m_state == run_state::running && !run.m_is_hung &&
+            run.m_expected > duration{0} &&
+            now - run.m_started_at >= hang_limit(run))
+        {
+            run.m_is_hung = true;
+            out.emplace_back(log_line{
+                log_level::warning,
+                "run_hung",
+                {{"run", run_field(current->first.first, current->first.second,
+                                   run.m_number)},
+                 {"expected_ms",
+                  std::to_string(to_milliseconds(run.m_expected))},
+                 {"ran_ms",
+                  std::to_string(to_milliseconds(now - run.m_started_at))}}});
+            order_stop(now, *current, out);
+        }
+        else if (now >= run.m_stop_again_at &&
+                 run.m_state == run_state::stopping)
+        {
+            run.m_state = run_state::running;
+            order_stop(now, *current, out);
+        }
+    }
+}
+
+auto executor::hang_limit(live_run const& run) const -> duration
+{
+    auto const expected =
+        std::chrono::duration<double, duration::period>(run.m_expected) *
+        hang_factor * std::max(m_slowness, 1.0);
+    return std::chrono::duration_cast<duration>(expected) + hang_grace;
+}
+
+auto executor::check_contacts(time_point now, effects& out) -> void
+{
+    for (auto each = m_contacts.begin(); each != m_contacts.end();)
+    {
+        auto const current = each++;
+        if (current->second.m_until > now)
+            continue;
+        auto const node = current->first;
+        auto const is_new = !std::exchange(current->second.m_is_expired, true);
+        auto has_runs = false;
+        for (auto& live : m_live)
+        {
+            if (live.second.m_job->m_entry != node)
+                continue;
+            has_runs = true;
+            if (is_new)
+                order_stop(now, live, out);
+        }
+        if (is_new && has_runs)
+            out.emplace_back(log_line{
+                log_level::warning,
+                "entry_contact_lost",
+                {{"entry", std::to_string(static_cast<std::uint64_t>(node))}}});
+        for (auto run = m_queue.all().begin(); run != m_queue.all().end();)
+        {
+            auto const is_its = run->second.m_job->m_entry == node;
+            if (is_its)
+                report_end(run->second, reason::lease_expired);
+            run = is_its ? m_queue.erase(run) : std::next(run);
+        }
+        if (!has_runs && !current->second.m_is_connected)
+            m_contacts.erase(current);
+    }
+}
+
+auto executor::drop_late(time_point now) -> void
+{
+    for (auto run = m_queue.all().begin(); run != m_queue.all().end();)
+    {
+        auto const& waiting = run->second;
+        auto const is_late =
+            now + waiting.m_expected > waiting.m_job->m_deadline;
+        if (is_late)
+        {
+            report_end(waiting, reason::deadline);
+            m_is_load_due = true;
+        }
+        run = is_late ? m_queue.erase(run) : std::next(run);
+    }
+}
+
+auto executor::settle(time_point now, effects& out) -> void
+{
+    drop_late(now);
+    if (accepts(now) != acceptance::none)
+        dispatch(now, out);
+    poll(now, out);
+    send_ends(out);
+    for (auto& [node, entry] : m_contacts)
+        if (entry.m_is_connected && !entry.m_is_announced && m_worker)
+            announce(node, entry, out);
+    send_load(now, out);
+}
+
+auto executor::poll(time_point now, effects& out) -> void
+{
+    auto const is_wanted = !m_live.empty() || m_has_unacknowledged ||
+                           (m_worker && !m_is_reachable);
+    if (!is_wanted || !m_worker || m_poll_sent_at != never)
+        return;
+    if (m_poll_at != never && now < m_poll_at)
+        return;
+    auto order = poll_runs{};
+    order.m_poll = ++m_poll;
+    order.m_target = target();
+    order.m_acknowledged = m_acknowledged;
+    // A worker that does not answer is left to let its runs lapse.
+    if (m_is_reachable && !m_live.empty())
+    {
+        order.m_lease_until_ms =
+            m_clock.at(now) + to_milliseconds(m_settings.m_lease);
+        order.m_wait_ms =
+            static_cast<std::uint32_t>(to_milliseconds(poll_wait));
+        m_lease_until_ms = std::max(m_lease_until_ms, order.m_lease_until_ms);
+    }
+    m_has_unacknowledged = false;
+    m_poll_sent_at = now;
+    out.emplace_back(std::move(order));
+}
+
+auto executor::send_ends(effects& out) -> void
+{
+    for (auto& [node, entry] : m_contacts)
+    {
+        if (entry.m_new_ends.empty())
+            continue;
+        auto news = runs_ended{++entry.m_ends, std::move(entry.m_new_ends)};
+        entry.m_new_ends.clear();
+        entry.m_unconfirmed.push_back(news);
+        if (entry.m_is_connected && entry.m_is_announced)
+            out.emplace_back(send{node, std::move(news)});
+    }
+}
+
+auto executor::announce(node_id to, contact& entry, effects& out) -> void
+{
+    auto news = worker_announcement{};
+    news.m_worker = *m_worker;
+    news.m_failure_domain = m_settings.m_failure_domain;
+    news.m_order = entry.m_order;
+    for (auto const& [key, run] : m_live)
+        if (run.m_job->m_entry == to)
+            news.m_runs.push_back(run.m_ref);
+    for (auto const& [place, run] : m_queue.all())
+        if (run.m_job->m_entry == to)
+            news.m_runs.push_back(run.m_ref);
+    for (auto const& ends : entry.m_unconfirmed)
+        out.emplace_back(send{to, ends});
+    out.emplace_back(send{to, std::move(news)});
+    entry.m_is_announced = true;
+    m_is_load_due = true;
+}
+
+auto executor::send_load(time_point now, effects& out) -> void
+{
+    auto const interval = m_is_load_due ? load_interval : idle_load_interval;
+    if (!m_worker || now < m_load_sent_at + interval)
+        return;
+    auto news = load(now);
+    for (auto const& [node, entry] : m_contacts)
+    {
+        if (!entry.m_is_connected || !entry.m_is_announced)
+            continue;
+        news.m_order = entry.m_order;
+        out.emplace_back(send{node, news});
+    }
+    m_is_load_due = false;
+    m_load_sent_at = now;
+}
+
+auto executor::load(time_point now) const -> worker_load
+{
+    auto news = worker_load{};
+    news.m_accepts = accepts(now);
+    news.m_free = free_room();
+    news.m_slowness_permille = static_cast<std::uint32_t>(m_slowness * 1000);
+    news.m_sent_at = now;
+    auto releases = std::vector<room_release>{};
+    for (auto const& [key, run] : m_live)
+    {
+        auto const expected = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, duration::period>(run.m_expected) *
+            m_slowness);
+        releases.push_back(
+            {std::max(now, run.m_started_at + expected), run.m_needs});
+    }
+    news.m_waits =
+        forecast_waits(now, m_queue, news.m_free, std::move(releases), m_probe);
+    return news;
+}
+
+auto executor::accepts(time_point now) const -> acceptance
+{
+    if (m_is_stopping || !m_worker || !m_worker->m_is_accepting ||
+        !m_is_reachable)
+        return acceptance::none;
+    if (!m_health.is_on_probation())
+        return acceptance::full;
+    return now >= m_health.trial_at() ? acceptance::trial : acceptance::none;
+}
+
+auto executor::free_room() const -> resources
+{
+    if (!m_worker)
+        return {};
+    auto room = m_worker->m_capacity;
+    for (auto const& [key, run] : m_live)
+        room -= run.m_needs;
+    return room;
+}
+
+auto executor::target() const -> worker_target
+{
+    return {m_worker->m_name, m_token};
+}
+
+auto executor::stop(time_point now, effects& out) -> void
+{
+    m_is_stopping = true;
+    m_is_load_due = true;
+    while (m_queue.size() != 0)
+    {
+        report_end(m_queue.all().begin()->second, reason::draining);
+        m_queue.erase(m_queue.all().begin());
+    }
+    settle(now, out);
+}
+
+auto executor::is_idle() const -> bool
+{
+    return m_is_stopping && m_live.empty() && m_queue.size() == 0 &&
+           !m_has_unacknowledged;
+}
+
+auto executor::next_deadline() const -> time_point
+{
+    auto first = never;
+    if (m_worker && m_poll_sent_at == never &&
+        (!m_live.empty() || m_has_unacknowledged || !m_is_reachable))
+        first = std::min(first, m_poll_at);
+    auto const has_contacts =
+        std::ranges::any_of(m_contacts,
+                            [](auto const& each)
+                            {
+                                return each.second.m_is_connected;
+                            });
+    if (m_worker && has_contacts)
+        first = std::min(first,
+                         m_load_sent_at + (m_is_load_due ? load_interval
+                                                         : idle_load_interval));
+    if (!m_is_reachable && !m_live.empty())
+        first = std::min(first, m_clock.certainly_reached(m_lease_until_ms));
+    for (auto const& [key, run] : m_live)
+    {
+        first = std::min(first, run.m_stop_again_at);
+        if (run.m_state == run_state::unsure)
+            first = std::min(first,
+                             m_clock.certainly_reached(run.m_lease_until_ms));
+        if (run.m_state == run_state::running && !run.m_is_hung &&
+            run.m_expected > duration{0})
+            first = std::min(first, run.m_started_at + hang_limit(run));
+    }
+    for (auto const& [node, entry] : m_contacts)
+        if (!entry.m_is_expired)
+            first = std::min(first, entry.m_until);
+    for (auto const& [place, run] : m_queue.all())
+        first = std::min(first, run.m_job->m_deadline - run.m_expected);
+    return first;
+}
+
+auto executor::worker() const -> worker_report const*
+{
+    return m_worker ? &*m_worker : nullptr;
+}
+
+auto executor::running() const -> std::size_t
+{
+    return m_live.size();
+}
+
+auto executor::waiting() const -> std::size_t
+{
+    return m_queue.size();
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/executor.hpp
@@ -0,0 +1,182 @@
+#ifndef HICKORYLATCH_CORE_PLACEMENT_EXECUTOR_HPP
+#define HICKORYLATCH_CORE_PLACEMENT_EXECUTOR_HPP
+
+#include "core/dispatch/agent_health.hpp"
+#include "core/model/effect.hpp"
+#include "core/placement/link_targets.hpp"
+#include "core/placement/run_queue.hpp"
+#include "core/placement/worker_clock.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+struct executor_settings
+{
+    /// Addresses of control replicas to begin with.
+    std::vector<std::string> m_seeds;
+    std::string m_failure_domain;
+    /// Longest lease that the worker grants, by its own clock.
+    duration m_lease = std::chrono::milliseconds{1000};
+};
+
+/// Stands beside one worker and is the only one that gives it orders. Queues
+/// the runs that entries order, starts them when there is room, keeps their
+/// lease and reports their ends. Needs no control replica.
+class executor
+{
+public:
+    explicit executor(executor_settings settings);
+
+    auto connected(time_point now, hello const& peer, effects& out) -> void;
+    auto disconnected(node_id peer) -> void;
+    auto receive(time_point now, node_id from, message const& incoming,
+                 effects& out) -> void;
+    auto reported(time_point now, worker_report const& report, effects& out)
+        -> void;
+    auto left(time_point now, worker_left const& news, effects& out) -> void;
+    auto answered(time_point now, run_start_answered const& answer,
+                  effects& out) -> void;
+    auto answered(time_point now, run_stop_answered const& answer, effects& out)
+        -> void;
+    auto answered(time_point now, runs_polled const& answer, effects& out)
+        -> void;
+    auto tick(time_point now, effects& out) -> void;
+    auto stop(time_point now, effects& out) -> void;
+
+    /// True once a stop was asked for and nothing runs or waits.
+    [[nodiscard]] auto is_idle() const -> bool;
+    [[nodiscard]] auto next_deadline() const -> time_point;
+    /// Null until the worker has reported itself.
+    [[nodiscard]] auto worker() const -> worker_report const*;
+    [[nodiscard]] auto running() const -> std::size_t;
+    [[nodiscard]] auto waiting() const -> std::size_t;
+
+private:
+    enum class run_state : std::uint8_t
+    {
+        starting, ///< Ordered, not answered yet.
+        unsure,   ///< Ordered without an answer; may still start.
+        running,
+        stopping
+    };
+
+    struct live_run
+    {
+        std::shared_ptr<ordered_job const> m_job;
+        run_ref m_ref;
+        resources m_needs;
+        duration m_expected{0};
+        run_state m_state = run_state::starting;
+        /// Run number that the worker knows.
+        std::uint32_t m_number = 0;
+        time_point m_started_at{0};
+        /// Lease of the start, by the worker's clock.
+        std::int64_t m_lease_until_ms = 0;
+        /// Its end counts as a failure of the worker: it made no progress.
+        bool m_is_hung = false;
+        /// To be stopped as soon as it is known to have started.
+        bool m_is_unwanted = false;
+        time_point m_stop_again_at = never;
+    };
+
+    /// What is known of one entry.
+    struct contact
+    {
+        bool m_is_connected = false;
+        bool m_is_announced = false;
+        std::uint64_t m_order = 0;
+        /// Runs of this entry may go on until then.
+        time_point m_until{0};
+        /// That time has passed, and its runs were told to stop.
+        bool m_is_expired = true;
+        std::uint64_t m_ends = 0;
+        std::deque<runs_ended> m_unconfirmed;
+        /// Ends of this turn, not sent yet.
+        std::vector<run_end> m_new_ends;
+    };
+
+    using live_key = std::pair<std::string, task_index>;
+    using live_runs = std::map<live_key, live_run>;
+
+    auto on(time_point now, node_id from, order_runs const& order) -> void;
+    auto on(time_point now, node_id from, withdraw_runs const& order,
+            effects& out) -> void;
+    auto on(time_point now, node_id from, contact_confirmed const& news)
+        -> void;
+
+    auto begin_lifetime(time_point now, worker_report const& report,
+                        effects& out) -> void;
+    auto dispatch(time_point now, effects& out) -> void;
+    auto start(time_point now, waiting_run const& next, effects& out) -> void;
+    auto order_start(time_point now, live_runs::value_type& started,
+                     effects& out) -> void;
+    auto confirm_start(time_point now, live_runs::value_type& started,
+                       effects& out) -> void;
+    auto order_stop(time_point now, live_runs::value_type& wanted, effects& out)
+        -> void;
+    auto finish(time_point now, live_runs::iterator ended, run_outcome outcome,
+                reason why, effects& out) -> void;
+    auto report_end(waiting_run const& refused, reason why) -> void;
+    auto learn(time_point now, live_run const& ended, run_outcome outcome)
+        -> void;
+    auto take_end(time_point now, ended_run const& ended, effects& out) -> void;
+    auto check_listed(time_point now, runs_polled const& answer, effects& out)
+        -> void;
+    auto stop_stray(worker_run const& stray, effects& out) -> void;
+    auto lose_worker(time_point now, effects& out) -> void;
+    auto poll(time_point now, effects& out) -> void;
+    auto check_runs(time_point now, effects& out) -> void;
+    auto check_contacts(time_point now, effects& out) -> void;
+    auto drop_late(time_point now) -> void;
+    /// Orders, polls and messages that the events so far call for.
+    auto settle(time_point now, effects& out) -> void;
+    auto send_ends(effects& out) -> void;
+    auto announce(node_id to, contact& entry, effects& out) -> void;
+    auto send_load(time_point now, effects& out) -> void;
+
+    [[nodiscard]] auto accepts(time_point now) const -> acceptance;
+    [[nodiscard]] auto load(time_point now) const -> worker_load;
+    [[nodiscard]] auto free_room() const -> resources;
+    [[nodiscard]] auto target() const -> worker_target;
+    [[nodiscard]] auto hang_limit(live_run const& run) const -> duration;
+
+    executor_settings m_settings;
+    link_targets m_links;
+    std::optional<worker_report> m_worker;
+    worker_clock m_clock;
+    std::uint64_t m_token = 0;
+    bool m_is_reachable = false;
+    agent_health m_health;
+    double m_slowness = 1.0;
+    resources m_probe;
+
+    run_queue m_queue;
+    live_runs m_live;
+    std::map<node_id, contact> m_contacts;
+
+    std::uint64_t m_poll = 0;
+    time_point m_poll_sent_at = never;
+    time_point m_poll_at = never;
+    duration m_poll_delay{0};
+    std::uint64_t m_acknowledged = 0;
+    bool m_has_unacknowledged = false;
+    /// Longest lease of any order, by the worker's clock.
+    std::int64_t m_lease_until_ms = 0;
+
+    bool m_is_load_due = true;
+    time_point m_load_sent_at{0};
+    bool m_is_stopping = false;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/placement/placed_job.cpp
@@ -0,0 +1,142 @@
+#include "core/placement/placed_job.hpp"
+
+#include <algorithm>
+
+namespace hickorylatch::core
+{
+
+placed_job::placed_job(std::uint64_t number, job_arrived const& request,
+                       job_queue const& queue, time_point now,
+                       time_point deadline)
+    : m_number{number}, m_exchange{request.m_exchange}, m_job{request.m_job},
+      m_queue{queue}, m_arrived{now}, m_deadline{deadline}
+{
+    for (auto step = std::uint32_t{0}; step < m_job.m_steps.size(); ++step)
+    {
+        auto const count = m_job.m_steps[step].m_count;
+        m_open.push_back(count);
+        for (auto task = std::uint32_t{0}; task < count; ++task)
+            m_tasks.push_back({.m_index = {step, task}});
+    }
+    m_open_tasks = m_tasks.size();
+    unblock();
+}
+
+auto placed_job::unblock() -> void
+{
+    for (auto& task : m_tasks)
+    {
+        if (task.m_state != task_state::blocked)
+            continue;
+        auto const& needed = m_job.m_steps[task.m_index.m_step].m_depends_on;
+        if (std::ranges::all_of(needed,
+                                [this](std::uint32_t step)
+                                {
+                                    return is_step_done(step);
+                                }))
+            task.m_state = task_state::ready;
+    }
+}
+
+auto placed_job::find(task_index index) -> placed_task*
+{
+    auto const found =
+        std::ranges::lower_bound(m_tasks, index, {}, &placed_task::m_index);
+    return found == m_tasks.end() || found->m_index != index ? nullptr
+                                                             : &*found;
+}
+
+auto placed_job::succeeded(placed_task& task) -> void
+{
+    task.m_state = task_state::succeeded;
+    task.m_agent = no_node;
+    --m_open_tasks;
+    if (--m_open[task.m_index.m_step] == 0 && m_open_tasks != 0)
+        unblock();
+}
+
+auto placed_job::came_back(placed_task& task) -> void
+{
+    task.m_state = task_state::ready;
+    task.m_agent = no_node;
+}
+
+auto placed_job::ordered(placed_task& task, node_id agent, std::uint64_t order)
+    -> void
+{
+    task.m_state = task_state::placed;
+    task.m_agent = agent;
+    task.m_order = order;
+}
+
+auto placed_job::note_started() -> void
+{
+    m_may_have_started = true;
+}
+
+auto placed_job::number() const -> std::uint64_t
+{
+    return m_number;
+}
+
+auto placed_job::exchange() const -> exchange_id
+{
+    return m_exchange;
+}
+
+auto placed_job::job() const -> step_job const&
+{
+    return m_job;
+}
+
+auto placed_job::queue() const -> job_queue const&
+{
+    return m_queue;
+}
+
+auto placed_job::arrived() const -> time_point
+{
+    return m_arrived;
+}
+
+auto placed_job::deadline() const -> time_point
+{
+    return m_deadline;
+}
+
+auto placed_job::tasks() -> std::span<placed_task>
+{
+    return m_tasks;
+}
+
+auto placed_job::tasks() const -> std::span<placed_task const>
+{
+    return m_tasks;
+}
+
+auto placed_job::step(placed_task const& task) const -> job_step const&
+{
+    return m_job.m_steps[task.m_index.m_step];
+}
+
+auto placed_job::is_complete() const -> bool
+{
+    return m_open_tasks == 0;
+}
+
+auto placed_job::may_have_started() const -> bool
+{
+    return m_may_have_started;
+}
+
+auto placed_job::ref(placed_task const& task) const -> run_ref
+{
+    return {m_number, task.m_index, task.m_run};
+}
+
+auto placed_job::is_step_done(std::uint32_t step) const -> bool
+{
+    return step < m_open.size() && m_open[step] == 0;
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/placed_job.hpp
@@ -0,0 +1,91 @@
+#ifndef HICKORYLATCH_CORE_PLACEMENT_PLACED_JOB_HPP
+#define HICKORYLATCH_CORE_PLACEMENT_PLACED_JOB_HPP
+
+#include "core/model/configuration.hpp"
+#include "core/model/event.hpp"
+#include "core/model/job.hpp"
+#include "core/model/message.hpp"
+#include "core/model/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+enum class task_state : std::uint8_t
+{
+    blocked, ///< A step that it depends on has not ended.
+    ready,
+    placed,
+    succeeded
+};
+
+/// One task of a job at its entry.
+struct placed_task
+{
+    task_index m_index;
+    task_state m_state = task_state::blocked;
+    /// Where its present run was ordered.
+    node_id m_agent = no_node;
+    /// Order of the present run, on the link to its agent.
+    std::uint64_t m_order = 0;
+    std::uint32_t m_run = 0;
+    std::uint32_t m_failures = 0;
+    /// Where it failed; it is not placed there again.
+    std::vector<node_id> m_avoided;
+};
+
+/// Progress of one step job at the entry that took it.
+class placed_job
+{
+public:
+    placed_job(std::uint64_t number, job_arrived const& request,
+               job_queue const& queue, time_point now, time_point deadline);
+
+    /// Makes tasks ready whose steps may start.
+    auto unblock() -> void;
+    /// Null if there is no such task.
+    auto find(task_index index) -> placed_task*;
+    auto succeeded(placed_task& task) -> void;
+    /// The present run ended without success; the task may be placed again.
+    auto came_back(placed_task& task) -> void;
+    auto ordered(placed_task& task, node_id agent, std::uint64_t order) -> void;
+    /// Some run may have started.
+    auto note_started() -> void;
+
+    [[nodiscard]] auto number() const -> std::uint64_t;
+    [[nodiscard]] auto exchange() const -> exchange_id;
+    [[nodiscard]] auto job() const -> step_job const&;
+    /// As it was when the job arrived.
+    [[nodiscard]] auto queue() const -> job_queue const&;
+    [[nodiscard]] auto arrived() const -> time_point;
+    [[nodiscard]] auto deadline() const -> time_point;
+    [[nodiscard]] auto tasks() -> std::span<placed_task>;
+    [[nodiscard]] auto tasks() const -> std::span<placed_task const>;
+    [[nodiscard]] auto step(placed_task const& task) const -> job_step const&;
+    [[nodiscard]] auto is_complete() const -> bool;
+    [[nodiscard]] auto may_have_started() const -> bool;
+    [[nodiscard]] auto ref(placed_task const& task) const -> run_ref;
+
+private:
+    [[nodiscard]] auto is_step_done(std::uint32_t step) const -> bool;
+
+    std::uint64_t m_number;
+    exchange_id m_exchange;
+    step_job m_job;
+    job_queue m_queue;
+    time_point m_arrived;
+    time_point m_deadline;
+    std::vector<placed_task> m_tasks;
+    /// Tasks of each step that have not succeeded.
+    std::vector<std::uint32_t> m_open;
+    std::size_t m_open_tasks = 0;
+    bool m_may_have_started = false;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- /dev/null
+++ b/src/core/placement/run_queue.cpp
@@ -0,0 +1,139 @@
+#include "core/placement/run_queue.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Further runs in the queue change no decision: the wait is long by then.
+constexpr auto forecast_runs = std::size_t{64};
+
+auto release_order(room_release const& left, room_release const& right) -> bool
+{
+    return left.m_at > right.m_at;
+}
+
+/// Plays the ends of runs forward in time.
+class room_forecast
+{
+public:
+    room_forecast(time_point now, resources room,
+                  std::vector<room_release> releases)
+        : m_now{now}, m_room{room}, m_releases{std::move(releases)}
+    {
+        std::ranges::make_heap(m_releases, release_order);
+    }
+
+    /// Earliest time at which there is room; `never` if there never is.
+    auto wait_for(resources const& needs) -> time_point
+    {
+        while (!m_room.fits(needs))
+        {
+            if (m_releases.empty())
+                return never;
+            std::ranges::pop_heap(m_releases, release_order);
+            m_now = std::max(m_now, m_releases.back().m_at);
+            m_room += m_releases.back().m_freed;
+            m_releases.pop_back();
+        }
+        return m_now;
+    }
+
+    auto run(resources const& needs, duration expected) -> void
+    {
+        m_room -= needs;
+        m_releases.push_back({m_now + expected, needs});
+        std::ranges::push_heap(m_releases, release_order);
+    }
+
+private:
+    time_point m_now;
+    resources m_room;
+    std::vector<room_release> m_releases;
+};
+
+auto to_wait_ms(time_point now, time_point start) -> std::uint32_t
+{
+    if (start == never)
+        return std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(start - now)
+            .count());
+}
+
+} // namespace
+
+auto run_queue::add(waiting_run run) -> void
+{
+    auto const rank = run.m_job->m_rank;
+    m_runs.emplace(position{rank, ++m_arrivals}, std::move(run));
+}
+
+auto run_queue::erase(runs::const_iterator at) -> runs::const_iterator
+{
+    return m_runs.erase(at);
+}
+
+auto run_queue::take(node_id entry, run_ref const& wanted)
+    -> std::optional<waiting_run>
+{
+    auto const found =
+        std::ranges::find_if(m_runs,
+                             [&](auto const& each)
+                             {
+                                 return each.second.m_job->m_entry == entry &&
+                                        each.second.m_ref == wanted;
+                             });
+    if (found == m_runs.end())
+        return std::nullopt;
+    auto taken = std::move(found->second);
+    m_runs.erase(found);
+    return taken;
+}
+
+auto run_queue::all() const -> runs const&
+{
+    return m_runs;
+}
+
+auto run_queue::size() const -> std::size_t
+{
+    return m_runs.size();
+}
+
+auto forecast_waits(time_point now, run_queue const& queue, resources room,
+                    std::vector<room_release> releases, resources const& probe)
+    -> std::vector<rank_wait>
+{
+    auto waits = std::vector<rank_wait>{};
+    auto forecast = room_forecast{now, room, std::move(releases)};
+    auto place = queue.all().begin();
+    auto seen = std::size_t{0};
+    if (place == queue.all().end() || place->first.first != 0)
+    {
+        auto idle = forecast;
+        waits.push_back({0, to_wait_ms(now, idle.wait_for(probe))});
+    }
+    while (place != queue.all().end() && seen < forecast_runs)
+    {
+        auto const rank = place->first.first;
+        for (; place != queue.all().end() && place->first.first == rank &&
+               seen < forecast_runs;
+             ++place, ++seen)
+        {
+            if (forecast.wait_for(place->second.m_needs) == never)
+                return waits;
+            forecast.run(place->second.m_needs, place->second.m_expected);
+        }
+        auto behind = forecast;
+        waits.push_back({rank, to_wait_ms(now, behind.wait_for(probe))});
+    }
+    return waits;
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/worker_directory.cpp
@@ -0,0 +1,210 @@
+#include "core/placement/worker_directory.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Agents send a load every 150 ms; two may be lost.
+constexpr auto silence_limit = duration{std::chrono::milliseconds{400}};
+
+auto has_label(worker_report const& worker, std::string_view label) -> bool
+{
+    return std::ranges::find(worker.m_labels, label) != worker.m_labels.end();
+}
+
+} // namespace
+
+auto worker_directory::set_spread_factor(double factor) -> void
+{
+    m_spread_factor = factor;
+}
+
+auto worker_directory::connected(node_id agent) -> void
+{
+    auto& worker = m_workers[agent];
+    worker = {};
+    worker.m_is_connected = true;
+}
+
+auto worker_directory::disconnected(node_id agent) -> void
+{
+    m_workers.erase(agent);
+}
+
+auto worker_directory::announce(time_point now, node_id agent,
+                                worker_announcement const& news) -> void
+{
+    auto const found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    found->second.m_news = news;
+    found->second.m_news.m_runs.clear();
+    found->second.m_is_announced = true;
+    found->second.m_heard = now;
+}
+
+auto worker_directory::update(time_point now, node_id agent,
+                              worker_load const& load) -> void
+{
+    auto const found = m_workers.find(agent);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    worker.m_load = load;
+    worker.m_heard = now;
+    while (!worker.m_unseen.empty() &&
+           worker.m_unseen.front().m_order <= load.m_order)
+        worker.m_unseen.pop_front();
+}
+
+auto worker_directory::next_order(node_id agent) -> std::uint64_t
+{
+    return ++m_workers.at(agent).m_order;
+}
+
+auto worker_directory::ordered(node_id agent, std::uint64_t order,
+                               resources const& needs, duration expected)
+    -> void
+{
+    m_workers.at(agent).m_unseen.push_back({order, needs, expected});
+}
+
+auto worker_directory::is_usable(time_point now, view const& worker) -> bool
+{
+    return worker.m_is_announced &&
+           worker.m_load.m_accepts != acceptance::none &&
+           now - worker.m_heard < silence_limit;
+}
+
+auto worker_directory::choose(time_point now, placement_request const& wanted,
+                              random_source& random) const
+    -> std::optional<placement_choice>
+{
+    auto best = std::optional<placement_choice>{};
+    auto equals = std::uint64_t{0};
+    for (auto const& [agent, worker] : m_workers)
+    {
+        auto const& report = worker.m_news.m_worker;
+        auto const& step = *wanted.m_step;
+        if (!is_usable(now, worker) || report.m_service != wanted.m_service ||
+            !report.m_capacity.fits(step.m_needs))
+            continue;
+        if (!step.m_required_label.empty() &&
+            !has_label(report, step.m_required_label))
+            continue;
+        if (std::ranges::find(wanted.m_avoided, agent) !=
+            wanted.m_avoided.end())
+            continue;
+        // A worker on trial gets one run at a time.
+        if (worker.m_load.m_accepts == acceptance::trial &&
+            !worker.m_unseen.empty())
+            continue;
+        auto found = finish_time(worker, wanted);
+        found.m_agent = agent;
+        if (best && found.m_finish > best->m_finish)
+            continue;
+        // Entries that see the same loads must not all choose the same worker.
+        auto const is_equal = best && found.m_finish == best->m_finish;
+        equals = is_equal ? equals + 1 : 1;
+        if (!is_equal || random.number() % equals == 0)
+            best = found;
+    }
+    return best;
+}
+
+auto worker_directory::finish_time(view const& worker,
+                                   placement_request const& wanted) const
+    -> placement_choice
+{
+    auto const& step = *wanted.m_step;
+    auto const is_far = !step.m_data_rack.empty() &&
+                        !has_label(worker.m_news.m_worker, step.m_data_rack);
+    auto const factor = worker.m_load.m_slowness_permille / 1000.0 *
+                        (is_far ? m_spread_factor : 1.0);
+    auto choice = placement_choice{};
+    choice.m_wait = wait_time(worker, wanted);
+    choice.m_finish =
+        choice.m_wait +
+        std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, duration::period>(wanted.m_expected) *
+            factor);
+    return choice;
+}
+
+auto worker_directory::wait_time(view const& worker,
+                                 placement_request const& wanted) -> duration
+{
+    auto room = worker.m_load.m_free;
+    // Work ordered since the last load, in thousandths of a core times time.
+    auto unseen = 0.0;
+    for (auto const& run : worker.m_unseen)
+    {
+        room -= run.m_needs;
+        unseen += run.m_needs.m_millicores *
+                  static_cast<double>(run.m_expected.count());
+    }
+    auto wait = duration{0};
+    for (auto const& each : worker.m_load.m_waits)
+        if (each.m_rank <= wanted.m_rank)
+            wait = std::chrono::milliseconds{each.m_wait_ms};
+    if (wait == duration{0} && room.fits(wanted.m_step->m_needs))
+        return duration{0};
+    auto const cores = std::max(worker.m_news.m_worker.m_capacity.m_millicores,
+                                std::uint32_t{1});
+    // Without room there is some wait even if the load tells of none.
+    constexpr auto least_wait = duration{1'000};
+    return std::max(wait, least_wait) +
+           duration{static_cast<duration::rep>(unseen / cores)};
+}
+
+auto worker_directory::has_usable(time_point now,
+                                  std::string_view service) const -> bool
+{
+    return std::ranges::any_of(
+        m_workers,
+        [&](auto const& each)
+        {
+            return is_usable(now, each.second) &&
+                   each.second.m_news.m_worker.m_service == service;
+        });
+}
+
+auto worker_directory::has_any_usable(time_point now) const -> bool
+{
+    return std::ranges::any_of(m_workers,
+                               [&](auto const& each)
+                               {
+                                   return is_usable(now, each.second);
+                               });
+}
+
+auto worker_directory::slowness(node_id agent) const -> double
+{
+    auto const found = m_workers.find(agent);
+    return found == m_workers.end()
+               ? 1.0
+               : found->second.m_load.m_slowness_permille / 1000.0;
+}
+
+auto worker_directory::last_order(node_id agent) const -> std::uint64_t
+{
+    auto const found = m_workers.find(agent);
+    return found == m_workers.end() ? 0 : found->second.m_order;
+}
+
+auto worker_directory::is_connected(node_id agent) const -> bool
+{
+    return m_workers.contains(agent);
+}
+
+auto worker_directory::size() const -> std::size_t
+{
+    return m_workers.size();
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/worker_directory.hpp
@@ -0,0 +1,115 @@
+#ifndef HICKORYLATCH_CORE_PLACEMENT_WORKER_DIRECTORY_HPP
+#define HICKORYLATCH_CORE_PLACEMENT_WORKER_DIRECTORY_HPP
+
+#include "core/model/job.hpp"
+#include "core/model/message.hpp"
+#include "core/model/random_source.hpp"
+#include "core/model/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+/// A task that looks for a worker.
+struct placement_request
+{
+    std::string_view m_service;
+    std::uint32_t m_rank = 0;
+    job_step const* m_step = nullptr;
+    /// Expected run time on a worker of common speed.
+    duration m_expected{0};
+    /// Agents to leave out: the task failed there, or the step has as many
+    /// tasks there as it may.
+    std::span<node_id const> m_avoided;
+};
+
+/// A worker that a task should go to.
+struct placement_choice
+{
+    node_id m_agent = no_node;
+    duration m_wait{0};
+    /// Expected time until the task has ended there.
+    duration m_finish{0};
+};
+
+/// What one entry knows of the workers: what their agents announced and what it
+/// ordered since.
+class worker_directory
+{
+public:
+    /// How much longer a task runs away from the rack with its data.
+    auto set_spread_factor(double factor) -> void;
+
+    auto connected(node_id agent) -> void;
+    auto disconnected(node_id agent) -> void;
+    auto announce(time_point now, node_id agent,
+                  worker_announcement const& news) -> void;
+    auto update(time_point now, node_id agent, worker_load const& load) -> void;
+    /// Notes a run that was ordered, until a load takes it into account.
+    /// Returns the number for the order to the agent, which counts from 1 on
+    /// each link.
+    auto next_order(node_id agent) -> std::uint64_t;
+    auto ordered(node_id agent, std::uint64_t order, resources const& needs,
+                 duration expected) -> void;
+
+    /// The worker on which the task is expected to end first; none if there is
+    /// no usable worker that could ever run it.
+    [[nodiscard]] auto choose(time_point now, placement_request const& wanted,
+                              random_source& random) const
+        -> std::optional<placement_choice>;
+    /// True if some worker of the service takes runs now.
+    [[nodiscard]] auto has_usable(time_point now,
+                                  std::string_view service) const -> bool;
+    [[nodiscard]] auto has_any_usable(time_point now) const -> bool;
+    /// Run time at this worker over the one expected anywhere; 1 is common.
+    [[nodiscard]] auto slowness(node_id agent) const -> double;
+    /// Number of the last order on the present link; 0 if there is none.
+    [[nodiscard]] auto last_order(node_id agent) const -> std::uint64_t;
+    [[nodiscard]] auto is_connected(node_id agent) const -> bool;
+    [[nodiscard]] auto size() const -> std::size_t;
+
+private:
+    /// A run that was ordered and is not in the last load.
+    struct unseen_run
+    {
+        std::uint64_t m_order = 0;
+        resources m_needs;
+        duration m_expected{0};
+    };
+
+    struct view
+    {
+        bool m_is_connected = false;
+        bool m_is_announced = false;
+        worker_announcement m_news;
+        worker_load m_load;
+        time_point m_heard{0};
+        std::uint64_t m_order = 0;
+        std::deque<unseen_run> m_unseen;
+    };
+
+    [[nodiscard]] static auto is_usable(time_point now, view const& worker)
+        -> bool;
+    [[nodiscard]] auto finish_time(view const& worker,
+                                   placement_request const& wanted) const
+        -> placement_choice;
+    [[nodiscard]] static auto wait_time(view const& worker,
+                                        placement_request const& wanted)
+        -> duration;
+
+    double m_spread_factor = 1.0;
+    std::map<node_id, view> m_workers;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- a/src/core/replication/replica.cpp
+++ b/src/core/replication/replica.cpp
@@ -472,6 +472,11 @@
     return m_is_leader && m_commit >= m_term_start && is_in_touch(now);
 }
 
+auto replica::quorum_heard_at() const -> time_point
+{
+    return m_replication.quorum_heard_at(members(), m_identity);
+}
+
 auto replica::leader() const -> node_id
 {
     return m_leader;
--- a/src/core/replication/replica.hpp
+++ b/src/core/replication/replica.hpp
@@ -84,6 +84,9 @@
     /// True if this replica leads, has committed the first entry of its term
     /// and heard from a quorum lately.
     [[nodiscard]] auto has_quorum(time_point now) const -> bool;
+    /// Send time of the last message that a majority has answered; `never` if
+    /// this leader is the only voter. Meaningful while this replica leads.
+    [[nodiscard]] auto quorum_heard_at() const -> time_point;
     /// The leader of the present term; `no_node` if not known.
     [[nodiscard]] auto leader() const -> node_id;
     [[nodiscard]] auto term() const -> term_number;
--- a/src/core/replication/replication.cpp
+++ b/src/core/replication/replication.cpp
@@ -29,6 +29,8 @@
     if (auto const* ended = std::get_if<end_submission>(&content))
         for (auto const& each : ended->m_answers)
             total += each.m_body.size();
+    if (auto const* installed = std::get_if<install_configuration>(&content))
+        total += installed->m_configuration.m_document.size();
     return total;
 }
 
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -7,11 +7,22 @@
 namespace hickorylatch::core
 {
 
+namespace
+{
+
+// An entry that was away for this long is not told of any more. Agents keep
+// trying to reach those that they were told of.
+constexpr auto forget_entry_after = duration{std::chrono::seconds{60}};
+
+} // namespace
+
 control::control(control_settings settings, replica_settings log_settings,
                  recovered_state const& recovered, image_codec codec,
-                 std::string address)
+                 std::string address, group_settings group)
     : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
-      m_address{std::move(address)}
+      m_address{std::move(address)}, m_keeper{group},
+      m_has_group_settings{!group.m_seeds.empty()}, m_links{group.m_seeds,
+                                                            false}
 {
     m_applied = m_snapshot = recovered.m_snapshot.m_last_index;
     if (auto image = m_codec.m_decode(recovered.m_snapshot.m_data))
@@ -33,11 +44,17 @@
                         random_source& random, effects& out) -> void
 {
     m_peers[peer.m_node] = peer;
+    m_keeper.connected(peer);
+    m_pending.link_changed(peer.m_node);
+    if (peer.m_role == role::entry && !peer.m_address.empty())
+        m_entries[peer.m_address] = never;
     if (m_coordinator)
         m_coordinator->connected(peer.m_node);
     auto const with = context(now, random, out);
-    if (peer.m_needs_configuration && m_coordinator &&
-        m_replica.has_quorum(now))
+    if (peer.m_follows_any_replica)
+        greet_follower(with, peer.m_node);
+    else if (peer.m_needs_configuration && m_coordinator &&
+             m_replica.has_quorum(now))
         out.emplace_back(send{peer.m_node, current_configuration()});
     settle(with);
 }
@@ -45,7 +62,15 @@
 auto control::disconnected(time_point now, node_id peer, random_source& random,
                            effects& out) -> void
 {
-    m_peers.erase(peer);
+    if (auto const found = m_peers.find(peer); found != m_peers.end())
+    {
+        auto const entry = m_entries.find(found->second.m_address);
+        if (entry != m_entries.end())
+            entry->second = now;
+        m_peers.erase(found);
+    }
+    m_keeper.disconnected(now, peer);
+    m_pending.link_changed(peer);
     auto const with = context(now, random, out);
     if (m_coordinator)
         m_coordinator->disconnected(with, peer);
@@ -58,7 +83,12 @@
     auto const with = context(now, random, out);
     auto const is_taken =
         from_entry(with, from, incoming) || from_agent(with, from, incoming);
-    if (!is_taken)
+    if (auto const* done = std::get_if<operate_result>(&incoming))
+    {
+        if (auto const settled = m_pending.answered(*done))
+            answer_operator(out, settled->m_who, settled->m_result);
+    }
+    else if (!is_taken)
         m_replica.receive(now, from, incoming, out);
     settle(with);
 }
@@ -102,6 +132,8 @@
                 send{from, not_leader{request->m_sequence, m_replica.leader(),
                                       request->m_copy}});
     }
+    else if (asked != nullptr && pending_operations::takes(asked->m_operation))
+        operate(with, {from, asked->m_sequence}, asked->m_operation);
     else if (!is_leading(with.m_now))
     {
         if (asked != nullptr)
@@ -134,6 +166,13 @@
     auto result = operate_result{};
     result.m_verdict.m_run = run_state::ran;
     result.m_version = m_state.config().m_version;
+    if (pending_operations::takes(asked))
+    {
+        if (!m_pending.add(with.m_now, who, asked))
+            answer_operator(with.m_out, who,
+                            {0, refused(reason::queue_full), 0, {}});
+        return;
+    }
     if (auto const* question = std::get_if<query_status>(&asked))
         result.m_document =
             status_document(*this, with.m_now, question->m_subject);
@@ -286,8 +325,102 @@
     follow_leadership(with);
     if (is_leading(with.m_now))
         m_coordinator->dispatch(with);
+    keep_members(with);
+    settle_operations(with);
     m_replica.flush(with.m_now, with.m_out);
     compact(with);
+    spread_processes(with);
+}
+
+auto control::keep_members(control_context const& with) -> void
+{
+    if (!m_has_group_settings)
+        return;
+    if (m_replica.cluster() == 0)
+    {
+        auto self = hello{};
+        self.m_node = m_replica.identity();
+        self.m_address = m_address;
+        auto const founders = m_keeper.founders(self);
+        if (!founders)
+            return;
+        auto const cluster = with.m_random.number() | 1U;
+        m_replica.found(cluster, *founders, with.m_out);
+        for (auto const& each : *founders)
+            if (each.m_node != m_replica.identity())
+                with.m_out.emplace_back(
+                    send{each.m_node, found_group{cluster, *founders}});
+        with.m_out.emplace_back(
+            log_line{log_level::info,
+                     "group_founded",
+                     {{"members", std::to_string(founders->size())}}});
+        return;
+    }
+    if (!is_leading(with.m_now))
+        return;
+    auto const members = m_replica.members();
+    m_keeper.note_members(with.m_now, members, m_replica.identity());
+    auto const holds_state = [&](node_id learner)
+    {
+        auto wanted = std::vector<member>{members.begin(), members.end()};
+        for (auto& each : wanted)
+            each.m_votes = each.m_votes || each.m_node == learner;
+        return m_replica.check_members(wanted).empty();
+    };
+    auto change = m_keeper.next_change(with.m_now, members,
+                                       m_replica.identity(), holds_state);
+    if (!change || !m_replica.check_members(*change).empty())
+        return;
+    auto const request_id = "repair-" + std::to_string(m_replica.term()) + "-" +
+                            std::to_string(++m_membership_changes);
+    with.m_out.emplace_back(log_line{
+        log_level::info,
+        "membership_change_proposed",
+        {{"request", request_id},
+         {"members", std::to_string(change->size())},
+         {"voters",
+          std::to_string(std::ranges::count_if(*change, &member::m_votes))}}});
+    m_replica.propose(change_membership{request_id, std::move(*change)});
+}
+
+auto control::settle_operations(control_context const& with) -> void
+{
+    for (auto& settled : m_pending.advance(with.m_now, m_replica, m_state,
+                                           is_leading(with.m_now), with.m_out))
+        answer_operator(with.m_out, settled.m_who, std::move(settled.m_result));
+}
+
+auto control::known_processes(time_point now) const -> process_list
+{
+    auto known = process_list{};
+    for (auto const& each : m_replica.members())
+        known.m_controls.push_back(each.m_address);
+    for (auto const& [address, lost_at] : m_entries)
+        if (lost_at == never || now - lost_at < forget_entry_after)
+            known.m_entries.push_back(address);
+    return known;
+}
+
+auto control::spread_processes(control_context const& with) -> void
+{
+    if (!m_has_group_settings)
+        return;
+    auto known = known_processes(with.m_now);
+    if (known == m_spread)
+        return;
+    m_spread = known;
+    m_links.follow(m_replica.identity(), known, with.m_out);
+    for (auto const& [node, peer] : m_peers)
+        if (peer.m_follows_any_replica)
+            with.m_out.emplace_back(send{node, known});
+}
+
+auto control::greet_follower(control_context const& with, node_id peer) -> void
+{
+    with.m_out.emplace_back(send{peer, known_processes(with.m_now)});
+    if (m_peers.at(peer).m_needs_configuration &&
+        m_state.config().m_version != 0)
+        with.m_out.emplace_back(send{peer, current_configuration()});
 }
 
 auto control::apply(control_context const& with, log_entry const& entry) -> void
@@ -300,7 +433,10 @@
         m_coordinator->committed(with, entry);
     auto const* change = std::get_if<change_configuration>(&entry.m_command);
     auto const* members = std::get_if<change_membership>(&entry.m_command);
-    if ((change != nullptr || members != nullptr) && m_coordinator)
+    auto const is_installation =
+        std::holds_alternative<install_configuration>(entry.m_command);
+    if ((change != nullptr || members != nullptr || is_installation) &&
+        m_coordinator)
         broadcast(with);
     if (change == nullptr && members == nullptr)
         return;
@@ -317,8 +453,11 @@
 auto control::current_configuration() const -> configuration_changed
 {
     auto const members = m_replica.members();
-    return {
+    auto current = configuration_changed{
         m_replica.term(), m_state.config(), {members.begin(), members.end()}};
+    // Only operators read it, from replicas.
+    current.m_configuration.m_document.clear();
+    return current;
 }
 
 auto control::broadcast(control_context const& with) -> void
@@ -384,7 +523,9 @@
 
 auto control::next_deadline(time_point now) const -> time_point
 {
-    auto const log = m_replica.next_deadline();
+    auto const log =
+        std::min({m_replica.next_deadline(), m_pending.next_deadline(),
+                  m_keeper.next_deadline(now)});
     return m_coordinator ? std::min(log, m_coordinator->next_deadline(now))
                          : log;
 }
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -3,9 +3,12 @@
 
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
+#include "core/placement/link_targets.hpp"
 #include "core/replication/replica.hpp"
 #include "core/roles/control_state.hpp"
 #include "core/roles/coordinator.hpp"
+#include "core/roles/membership_keeper.hpp"
+#include "core/roles/pending_operations.hpp"
 
 #include <cstdint>
 #include <map>
@@ -32,7 +35,7 @@
 public:
     control(control_settings settings, replica_settings log_settings,
             recovered_state const& recovered, image_codec codec,
-            std::string address);
+            std::string address, group_settings group = {});
 
     auto start(time_point now, std::uint64_t seed, effects& out) -> void;
     auto connected(time_point now, hello const& peer, random_source& random,
@@ -63,13 +66,6 @@
     [[nodiscard]] auto leader_work() const -> coordinator const*;
 
 private:
-    struct operator_wait
-    {
-        /// `no_node` for an operator of this process.
-        node_id m_entry = no_node;
-        std::uint64_t m_sequence = 0;
-    };
-
     [[nodiscard]] auto context(time_point now, random_source& random,
                                effects& out) -> control_context;
     /// False if the message is not one of an entry.
@@ -92,6 +88,14 @@
     auto broadcast(control_context const& with) -> void;
     auto follow_leadership(control_context const& with) -> void;
     auto compact(control_context const& with) -> void;
+    /// Founds the group or changes its membership if that is due.
+    auto keep_members(control_context const& with) -> void;
+    auto settle_operations(control_context const& with) -> void;
+    [[nodiscard]] auto known_processes(time_point now) const -> process_list;
+    /// Tells processes that follow any replica where the others are.
+    auto spread_processes(control_context const& with) -> void;
+    /// Greets a process that follows any replica.
+    auto greet_follower(control_context const& with, node_id peer) -> void;
 
     control_settings m_settings;
     replica m_replica;
@@ -106,6 +110,15 @@
     unix_milliseconds m_wall = 0;
     std::map<node_id, hello> m_peers;
     std::multimap<std::string, operator_wait> m_operators;
+    pending_operations m_pending;
+    membership_keeper m_keeper;
+    bool m_has_group_settings = false;
+    std::uint64_t m_membership_changes = 0;
+    /// Where entries accept links, and when each was last connected; `never`
+    /// while it is.
+    std::map<std::string, time_point> m_entries;
+    process_list m_spread;
+    link_targets m_links;
 };
 
 /// JSON text with what an operator asked to see.
--- a/src/core/roles/control_state.cpp
+++ b/src/core/roles/control_state.cpp
@@ -186,6 +186,12 @@
     remember(std::move(result));
 }
 
+auto control_state::on(install_configuration const& installed) -> void
+{
+    if (installed.m_configuration.m_version > m_configuration.m_version)
+        m_configuration = installed.m_configuration;
+}
+
 auto control_state::remember(operator_outcome outcome) -> void
 {
     m_outcome_order.push_back(outcome.m_request_id);
--- a/src/core/roles/control_state.hpp
+++ b/src/core/roles/control_state.hpp
@@ -96,6 +96,7 @@
     auto on(change_configuration const& change) -> void;
     auto on(expire_keys const& limit) -> void;
     auto on(change_membership const& change) -> void;
+    auto on(install_configuration const& installed) -> void;
 
     auto remember(operator_outcome outcome) -> void;
     auto insert(submission_record record) -> void;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -35,6 +35,10 @@
             m_node.m_entry->tick(m_now, m_out);
         if (m_node.m_agent)
             m_node.m_agent->tick(m_now, m_out);
+        if (m_node.m_broker)
+            m_node.m_broker->tick(m_now, m_node.m_random, m_out);
+        if (m_node.m_executor)
+            m_node.m_executor->tick(m_now, m_out);
         if (m_node.m_control)
             m_node.m_control->tick(m_now, m_node.m_random, m_out);
     }
@@ -45,6 +49,10 @@
             m_node.m_entry->connected(event.m_peer);
         if (m_node.m_agent)
             m_node.m_agent->connected(event.m_peer);
+        if (m_node.m_broker)
+            m_node.m_broker->connected(m_now, event.m_peer);
+        if (m_node.m_executor)
+            m_node.m_executor->connected(m_now, event.m_peer, m_out);
         if (m_node.m_control)
             m_node.m_control->connected(m_now, event.m_peer, m_node.m_random,
                                         m_out);
@@ -56,6 +64,10 @@
             m_node.m_entry->disconnected(event.m_peer);
         if (m_node.m_agent)
             m_node.m_agent->disconnected(event.m_peer);
+        if (m_node.m_broker)
+            m_node.m_broker->disconnected(m_now, event.m_peer);
+        if (m_node.m_executor)
+            m_node.m_executor->disconnected(event.m_peer);
         if (m_node.m_control)
             m_node.m_control->disconnected(m_now, event.m_peer, m_node.m_random,
                                            m_out);
@@ -69,6 +81,12 @@
         if (m_node.m_agent)
             m_node.m_agent->receive(m_now, event.m_from, event.m_message,
                                     m_node.m_random, m_out);
+        if (m_node.m_broker)
+            m_node.m_broker->receive(m_now, event.m_from, event.m_message,
+                                     m_node.m_random, m_out);
+        if (m_node.m_executor)
+            m_node.m_executor->receive(m_now, event.m_from, event.m_message,
+                                       m_out);
         if (m_node.m_control)
             m_node.m_control->receive(m_now, event.m_from, event.m_message,
                                       m_node.m_random, m_out);
@@ -96,6 +114,8 @@
     {
         if (m_node.m_entry)
             m_node.m_entry->abandoned(event.m_exchange, m_out);
+        if (m_node.m_broker)
+            m_node.m_broker->abandoned(m_now, event.m_exchange, m_out);
     }
 
     auto operator()(operator_arrived const& event) -> void
@@ -119,6 +139,10 @@
             m_node.m_entry->stop();
         if (m_node.m_agent)
             m_node.m_agent->stop(m_now, m_out);
+        if (m_node.m_broker)
+            m_node.m_broker->stop(m_now);
+        if (m_node.m_executor)
+            m_node.m_executor->stop(m_now, m_out);
         if (m_node.m_control)
             m_node.m_control->stop(m_now, m_node.m_random, m_out);
     }
@@ -129,6 +153,48 @@
             m_node.m_control->clock(m_now, event, m_out);
     }
 
+    auto operator()(job_arrived const& event) -> void
+    {
+        if (m_node.m_broker)
+            m_node.m_broker->arrived(m_now, event, m_node.m_random, m_out);
+    }
+
+    auto operator()(job_asked const& event) -> void
+    {
+        if (m_node.m_broker)
+            m_node.m_broker->asked(event, m_out);
+    }
+
+    auto operator()(worker_reported const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->reported(m_now, event.m_report, m_out);
+    }
+
+    auto operator()(worker_left const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->left(m_now, event, m_out);
+    }
+
+    auto operator()(run_start_answered const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->answered(m_now, event, m_out);
+    }
+
+    auto operator()(run_stop_answered const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->answered(m_now, event, m_out);
+    }
+
+    auto operator()(runs_polled const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->answered(m_now, event, m_out);
+    }
+
 private:
     node& m_node;
     time_point m_now;
@@ -155,7 +221,9 @@
 auto is_idle(node const& target, time_point now) -> bool
 {
     return (!target.m_entry || target.m_entry->is_idle()) &&
-           (!target.m_agent || target.m_agent->is_idle(now));
+           (!target.m_agent || target.m_agent->is_idle(now)) &&
+           (!target.m_broker || target.m_broker->is_idle(now)) &&
+           (!target.m_executor || target.m_executor->is_idle());
 }
 
 auto next_deadline(node const& target, time_point now) -> time_point
@@ -165,6 +233,10 @@
         first = std::min(first, target.m_entry->next_deadline());
     if (target.m_agent)
         first = std::min(first, target.m_agent->next_deadline());
+    if (target.m_broker)
+        first = std::min(first, target.m_broker->next_deadline());
+    if (target.m_executor)
+        first = std::min(first, target.m_executor->next_deadline());
     if (target.m_control)
         first = std::min(first, target.m_control->next_deadline(now));
     return first;
@@ -197,14 +269,16 @@
 {
     auto words = hello{};
     words.m_node = target.m_id;
-    words.m_role = target.m_control ? role::control
-                   : target.m_entry ? role::entry
-                                    : role::agent;
+    words.m_role = target.m_control                    ? role::control
+                   : target.m_entry || target.m_broker ? role::entry
+                                                       : role::agent;
     words.m_name = target.m_name;
     words.m_address = target.m_address;
     words.m_cluster = target.m_control ? target.m_control->cluster() : 0;
     words.m_secret = target.m_secret;
-    words.m_needs_configuration = target.m_entry || target.m_agent;
+    words.m_needs_configuration =
+        target.m_entry || target.m_agent || target.m_broker;
+    words.m_follows_any_replica = target.m_broker || target.m_executor;
     return words;
 }
 
@@ -212,7 +286,8 @@
 {
     if (target.m_is_stopping)
         return false;
-    return !target.m_entry || target.m_entry->has_lease(now);
+    return (!target.m_entry || target.m_entry->has_lease(now)) &&
+           (!target.m_broker || target.m_broker->is_ready(now));
 }
 
 } // namespace hickorylatch::core
--- a/src/core/roles/node.hpp
+++ b/src/core/roles/node.hpp
@@ -2,6 +2,8 @@
 #define HICKORYLATCH_CORE_ROLES_NODE_HPP
 
 #include "core/model/event.hpp"
+#include "core/placement/broker.hpp"
+#include "core/placement/executor.hpp"
 #include "core/roles/agent.hpp"
 #include "core/roles/control.hpp"
 #include "core/roles/entry.hpp"
@@ -25,6 +27,8 @@
     std::optional<entry> m_entry;
     std::optional<control> m_control;
     std::optional<agent> m_agent;
+    std::optional<broker> m_broker;
+    std::optional<executor> m_executor;
     bool m_is_stopping = false;
     bool m_has_exited = false;
     time_point m_timer = never;
@@ -37,8 +41,8 @@
 /// What this node says first on a link.
 [[nodiscard]] auto greeting(node const& target) -> hello;
 
-/// True if a balancer may send callers here: it is not stopping, and its entry
-/// holds a valid lease.
+/// True if a balancer may send callers here: it is not stopping, its entry
+/// holds a valid lease, and its broker has a configuration and a worker.
 [[nodiscard]] auto is_ready(node const& target, time_point now) -> bool;
 
 } // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/roles/pending_operations.cpp
@@ -0,0 +1,137 @@
+#include "core/roles/pending_operations.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// Operators turn to another replica after a second without an answer.
+constexpr auto answer_limit = duration{std::chrono::milliseconds{900}};
+constexpr auto most_pending = std::size_t{64};
+
+} // namespace
+
+auto pending_operations::takes(operation const& asked) -> bool
+{
+    return std::holds_alternative<install_configuration>(asked) ||
+           std::holds_alternative<read_configuration>(asked);
+}
+
+auto pending_operations::add(time_point now, operator_wait who, operation asked)
+    -> bool
+{
+    if (m_pending.size() >= most_pending)
+        return false;
+    auto added = pending{};
+    added.m_number = ++m_last_number;
+    added.m_who = who;
+    added.m_operation = std::move(asked);
+    added.m_deadline = now + answer_limit;
+    m_pending.push_back(std::move(added));
+    return true;
+}
+
+auto pending_operations::answered(operate_result const& result)
+    -> std::optional<settled_operation>
+{
+    auto const found =
+        std::ranges::find(m_pending, result.m_sequence, &pending::m_number);
+    if (found == m_pending.end())
+        return std::nullopt;
+    if (result.m_verdict.m_run != run_state::ran)
+    {
+        found->m_passed_to = no_node;
+        return std::nullopt;
+    }
+    auto settled = settled_operation{found->m_who, result};
+    m_pending.erase(found);
+    return settled;
+}
+
+auto pending_operations::link_changed(node_id peer) -> void
+{
+    for (auto& each : m_pending)
+        if (each.m_passed_to == peer)
+            each.m_passed_to = no_node;
+}
+
+auto pending_operations::advance(time_point now, replica& log,
+                                 control_state const& state, bool is_leading,
+                                 effects& out) -> std::vector<settled_operation>
+{
+    auto settled = std::vector<settled_operation>{};
+    auto const settle = [&](pending& waiting) -> bool
+    {
+        auto result = std::optional<operate_result>{};
+        if (is_leading)
+            result = lead(now, waiting, log, state);
+        if (!result && now >= waiting.m_deadline)
+        {
+            result = operate_result{};
+            result->m_verdict = uncertain(reason::no_leader);
+        }
+        if (result)
+        {
+            settled.push_back({waiting.m_who, std::move(*result)});
+            return true;
+        }
+        auto const leader = log.leader();
+        if (!is_leading && leader != no_node && leader != log.identity() &&
+            waiting.m_passed_to != leader)
+        {
+            waiting.m_passed_to = leader;
+            out.emplace_back(
+                send{leader, operate{waiting.m_number, waiting.m_operation}});
+        }
+        return false;
+    };
+    std::erase_if(m_pending, settle);
+    return settled;
+}
+
+auto pending_operations::lead(time_point now, pending& waiting, replica& log,
+                              control_state const& state)
+    -> std::optional<operate_result>
+{
+    auto result = operate_result{};
+    result.m_verdict.m_run = run_state::ran;
+    result.m_version = state.config().m_version;
+    if (auto const* wanted =
+            std::get_if<install_configuration>(&waiting.m_operation))
+    {
+        if (wanted->m_configuration.m_version <= state.config().m_version)
+            return result;
+        if (std::exchange(waiting.m_proposed_term, log.term()) != log.term())
+            log.propose(*wanted);
+        return std::nullopt;
+    }
+    if (std::exchange(waiting.m_read_term, log.term()) != log.term())
+        waiting.m_read_at = now;
+    // An answer of a quorum to a later heartbeat shows that there was no other
+    // leader when the question came. Time alone does not: this process may have
+    // been suspended, which its clock does not show.
+    if (log.quorum_heard_at() < waiting.m_read_at)
+        return std::nullopt;
+    result.m_document = state.config().m_document;
+    return result;
+}
+
+auto pending_operations::next_deadline() const -> time_point
+{
+    auto first = never;
+    for (auto const& each : m_pending)
+        first = std::min(first, each.m_deadline);
+    return first;
+}
+
+auto pending_operations::size() const -> std::size_t
+{
+    return m_pending.size();
+}
+
+} // namespace hickorylatch::core
--- a/src/hickorylatch/main.cpp
+++ b/src/hickorylatch/main.cpp
@@ -3,6 +3,7 @@
 #include "experiment/command.hpp"
 #include "hickorylatch/check_command.hpp"
 #include "hickorylatch/ctl_command.hpp"
+#include "hickorylatch/host_command.hpp"
 #include "hickorylatch/serve_command.hpp"
 
 #include <array>
@@ -38,6 +39,8 @@
     static auto const all = std::vector<subcommand>{
         {"serve", "run the roles that a settings file names",
          program::serve_main},
+        {"host", "run one process on a machine of the users' platform",
+         program::host_main},
         {"check", "validate a settings file", program::check_main},
         {"ctl", "operate the system", program::ctl_main},
         {"emulate", "stand in for endpoints and workers",
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -189,6 +189,11 @@
     m_exchanges.clear();
 }
 
+auto http_server::set_handler(handler handle) -> void
+{
+    m_handler = std::move(handle);
+}
+
 auto http_server::listen(std::string_view address)
     -> leaf::result<std::uint16_t>
 {
@@ -211,9 +216,14 @@
     return port;
 }
 
-auto http_server::stop_accepting() -> void
+auto http_server::drain() -> void
 {
     m_is_stopping = true;
+}
+
+auto http_server::stop_accepting() -> void
+{
+    drain();
     for (auto* const listener : std::exchange(m_listeners, {}))
         evhttp_del_accept_socket(m_http.get(), listener);
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -59,9 +59,14 @@
     auto operator=(http_server const&) -> http_server& = delete;
     ~http_server();
 
+    /// Replaces the handler. Not to be called from within it.
+    auto set_handler(handler handle) -> void;
     /// Accepts connections on one more address and returns the bound port.
     [[nodiscard]] auto listen(std::string_view address)
         -> boost::leaf::result<std::uint16_t>;
+    /// Makes each answer from now on close its connection, so that clients
+    /// connect anew, to another server.
+    auto drain() -> void;
     /// Closes the listening sockets. Open exchanges stay; each answer from now
     /// on closes its connection.
     auto stop_accepting() -> void;
--- /dev/null
+++ b/src/platform/operators_api.cpp
@@ -0,0 +1,116 @@
+#include "platform/operators_api.hpp"
+
+#include "platform/configuration_body.hpp"
+#include "platform/json_reader.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <utility>
+
+namespace hickorylatch::platform
+{
+
+namespace
+{
+
+namespace leaf = boost::leaf;
+
+constexpr auto configuration_path = "/api/config";
+
+} // namespace
+
+operators_api::operators_api(process::process& target) : m_process{target}
+{
+    m_process.operation_answered().connect(
+        [this](core::reply_operator const& done)
+        {
+            answer(done);
+        });
+}
+
+auto operators_api::open(process::process& target, std::string_view address)
+    -> leaf::result<std::unique_ptr<operators_api>>
+{
+    auto api = std::unique_ptr<operators_api>{new operators_api{target}};
+    auto server = std::make_unique<net::http_server>(
+        target.loop(), net::http_server_settings{},
+        [self = api.get()](net::http_request const& request)
+        {
+            self->handle(request);
+        });
+    BOOST_LEAF_CHECK(server->listen(address));
+    api->m_server = &target.add_server(std::move(server));
+    return api;
+}
+
+auto operators_api::handle(net::http_request const& request) -> void
+{
+    if (request.m_path == configuration_path && request.m_method == "PUT")
+        install(request);
+    else if (request.m_path == configuration_path && request.m_method == "GET")
+        ask(request, core::read_configuration{});
+    else
+        send(request.m_exchange, 503, "{}");
+}
+
+auto operators_api::install(net::http_request const& request) -> void
+{
+    auto const reject = [&](std::string_view cause)
+    {
+        m_process.log({core::log_level::warning,
+                       "configuration_rejected",
+                       {{"cause", std::string{cause}},
+                        {"bytes", std::to_string(request.m_body.size())},
+                        {"from", request.m_remote}}});
+        send(request.m_exchange, 400, "{}");
+    };
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(wanted, parse_configuration(request.m_body));
+            ask(request, core::install_configuration{std::move(wanted)});
+            return {};
+        },
+        [&](body_error const& error)
+        {
+            reject(error.m_text);
+        },
+        [&]
+        {
+            reject("not understood");
+        });
+}
+
+auto operators_api::ask(net::http_request const& request, core::operation asked)
+    -> void
+{
+    auto const number = m_process.next_exchange();
+    m_open[number] = request.m_exchange;
+    m_process.feed(core::operator_arrived{number, std::move(asked)});
+}
+
+auto operators_api::answer(core::reply_operator const& done) -> void
+{
+    auto const found = m_open.find(done.m_exchange);
+    if (found == m_open.end())
+        return;
+    auto const exchange = found->second;
+    m_open.erase(found);
+    auto const& result = done.m_result;
+    auto const is_known = result.m_verdict.m_run == core::run_state::ran;
+    // Before the first configuration there is nothing to read.
+    if (!is_known || result.m_version == 0)
+        send(exchange, 503, "{}");
+    else
+        send(exchange, 200,
+             result.m_document.empty() ? "{}" : result.m_document);
+}
+
+auto operators_api::send(core::exchange_id exchange, std::uint16_t status,
+                         std::string_view body) -> void
+{
+    m_server->answer(exchange, status, {{"Content-Type", "application/json"}},
+                     body);
+}
+
+} // namespace hickorylatch::platform
--- /dev/null
+++ b/src/platform/operators_api.hpp
@@ -0,0 +1,48 @@
+#ifndef HICKORYLATCH_PLATFORM_OPERATORS_API_HPP
+#define HICKORYLATCH_PLATFORM_OPERATORS_API_HPP
+
+#include "net/http_message.hpp"
+#include "net/http_server.hpp"
+#include "process/process.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace hickorylatch::platform
+{
+
+/// What operators call on a control process.
+class operators_api
+{
+public:
+    /// Errors: `net::error`.
+    [[nodiscard]] static auto open(process::process& target,
+                                   std::string_view address)
+        -> boost::leaf::result<std::unique_ptr<operators_api>>;
+
+    operators_api(operators_api const&) = delete;
+    auto operator=(operators_api const&) -> operators_api& = delete;
+
+private:
+    explicit operators_api(process::process& target);
+
+    auto handle(net::http_request const& request) -> void;
+    auto install(net::http_request const& request) -> void;
+    auto ask(net::http_request const& request, core::operation asked) -> void;
+    auto answer(core::reply_operator const& done) -> void;
+    auto send(core::exchange_id exchange, std::uint16_t status,
+              std::string_view body) -> void;
+
+    process::process& m_process;
+    net::http_server* m_server = nullptr;
+    /// Exchanges of the server by the number of their operation.
+    std::unordered_map<core::exchange_id, core::exchange_id> m_open;
+};
+
+} // namespace hickorylatch::platform
+
+#endif
--- /dev/null
+++ b/src/platform/settings.cpp
@@ -0,0 +1,162 @@
+#include "platform/settings.hpp"
+
+#include <boost/leaf/error.hpp>
+
+#include <toml.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <sstream>
+#include <utility>
+
+namespace hickorylatch::platform
+{
+
+namespace
+{
+
+// Ports for metrics, which must be fixed because the deploy file names them.
+constexpr auto entry_metrics_port = 9464;
+constexpr auto control_metrics_port = 9465;
+constexpr auto agent_metrics_port = 9466;
+
+// A control and an entry process may share a machine; agents accept no links.
+constexpr auto control_link_port_offset = 0;
+constexpr auto entry_link_port_offset = 1;
+
+auto fail(std::string text) -> boost::leaf::error_id
+{
+    return boost::leaf::new_error(settings_error{std::move(text)});
+}
+
+/// The member, or an empty value if it is missing.
+template <typename T>
+auto read(toml::value const& from, std::string const& name, T fallback) -> T
+{
+    return toml::find_or<T>(from, name, std::move(fallback));
+}
+
+auto read_table(toml::value const& from, std::string const& name) -> toml::value
+{
+    return toml::find_or<toml::value>(from, name, toml::value{toml::table{}});
+}
+
+auto read_number(toml::value const& from, std::string const& name,
+                 double fallback) -> double
+{
+    if (!from.contains(name))
+        return fallback;
+    auto const& value = from.at(name);
+    if (value.is_integer())
+        return static_cast<double>(value.as_integer());
+    return value.is_floating() ? value.as_floating() : fallback;
+}
+
+auto join(std::string const& ip, int port) -> std::string
+{
+    return ip + ":" + std::to_string(port);
+}
+
+/// The link address of the control process on the machine with this control
+/// address. Ports are the same on all machines.
+auto to_link_address(std::string const& control_address, int first_port)
+    -> std::string
+{
+    auto const ip = control_address.substr(0, control_address.rfind(':'));
+    return join(ip, first_port + control_link_port_offset);
+}
+
+} // namespace
+
+auto parse_host_settings(std::string_view text)
+    -> boost::leaf::result<host_settings>
+{
+    try
+    {
+        auto stream = std::istringstream{std::string{text}};
+        auto const file = toml::parse(stream, "settings");
+        auto out = host_settings{};
+        out.m_name = read(file, "nodeName", std::string{});
+        out.m_ip = read(file, "ip", std::string{});
+        out.m_failure_domain = read(file, "zone", std::string{});
+        out.m_worker_address = read(file, "app", std::string{});
+        out.m_seeds = read(file, "seeds", std::vector<std::string>{});
+        out.m_is_first_start = read(file, "bootstrap", false);
+        out.m_data_folder = read(file, "dataDir", std::string{});
+        auto const ports = read(file, "portRange", std::vector<std::int64_t>{});
+        if (ports.empty() || ports.front() <= 0 || ports.front() > 65'000)
+            return fail("portRange: no usable port");
+        out.m_first_port = static_cast<std::uint16_t>(ports.front());
+        auto const addresses = read_table(file, "listenAddrs");
+        out.m_clients_address = read(addresses, "frontend", std::string{});
+        out.m_readiness_address = read(addresses, "readiness", std::string{});
+        out.m_control_address = read(addresses, "controlPlane", std::string{});
+        auto const bounds = read_table(file, "bounds");
+        out.m_lease_ms =
+            static_cast<std::uint32_t>(read_number(bounds, "maxHoldMs", 1'000));
+        out.m_spread_factor = read_number(bounds, "spreadFactor", 1.0);
+        out.m_tolerated_losses = static_cast<std::uint32_t>(
+            read_number(read_table(file, "faultTolerance"), "machines", 1));
+        out.m_memory_mb = static_cast<std::uint32_t>(
+            read_number(read_table(file, "limits"), "memoryMb", 0));
+        if (out.m_name.empty() || out.m_ip.empty())
+            return fail("nodeName and ip are required");
+        return out;
+    }
+    catch (std::exception const& error)
+    {
+        return fail(error.what());
+    }
+}
+
+auto to_process_settings(host_settings const& host, duty wanted)
+    -> boost::leaf::result<settings::settings>
+{
+    auto out = settings::settings{};
+    out.m_name = host.m_name;
+    out.m_failure_domain = host.m_failure_domain;
+    for (auto const& seed : host.m_seeds)
+        out.m_control_addresses.push_back(
+            to_link_address(seed, host.m_first_port));
+    if (wanted == duty::entry)
+    {
+        if (host.m_clients_address.empty() || host.m_readiness_address.empty())
+            return fail("an entry needs the addresses frontend and readiness");
+        auto broker = settings::broker_settings{};
+        broker.m_listen_address =
+            join(host.m_ip, host.m_first_port + entry_link_port_offset);
+        broker.m_operators_address = join(host.m_ip, entry_metrics_port);
+        broker.m_spread_factor = host.m_spread_factor;
+        broker.m_lease_ms = host.m_lease_ms;
+        out.m_broker = std::move(broker);
+        return out;
+    }
+    if (host.m_control_address.empty())
+        return fail("the address controlPlane is missing");
+    if (wanted == duty::agent)
+    {
+        if (host.m_worker_address.empty())
+            return fail("an agent needs the worker's address, app");
+        auto executor = settings::executor_settings{};
+        executor.m_operators_address = join(host.m_ip, agent_metrics_port);
+        executor.m_lease_ms = host.m_lease_ms;
+        out.m_executor = std::move(executor);
+        return out;
+    }
+    if (host.m_data_folder.empty())
+        return fail("a control replica needs a disk, dataDir");
+    auto control = settings::control_settings{};
+    control.m_listen_address =
+        join(host.m_ip, host.m_first_port + control_link_port_offset);
+    control.m_operators_address = join(host.m_ip, control_metrics_port);
+    control.m_data_folder = host.m_data_folder;
+    control.m_group.m_seeds = out.m_control_addresses;
+    control.m_group.m_is_first_start = host.m_is_first_start;
+    // A majority must remain when the tolerated number is lost.
+    control.m_group.m_voters =
+        std::max(std::size_t{3}, std::size_t{host.m_tolerated_losses} * 2 + 1);
+    out.m_control = std::move(control);
+    return out;
+}
+
+} // namespace hickorylatch::platform
--- /dev/null
+++ b/src/platform/worker_api.cpp
@@ -0,0 +1,230 @@
+#include "platform/worker_api.hpp"
+
+#include "platform/json_reader.hpp"
+#include "platform/worker_body.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <string>
+#include <utility>
+
+namespace hickorylatch::platform
+{
+
+namespace
+{
+
+namespace leaf = boost::leaf;
+
+constexpr auto reports_prefix = std::string_view{"/api/instances/"};
+constexpr auto lifetime_header = "X-Hickorylatch-Expected-Instance";
+
+// A worker answers within a millisecond. An order without an answer by then is
+// taken for one that may be carried out later.
+constexpr auto order_limit = core::duration{std::chrono::milliseconds{150}};
+// Beyond the time that a poll may wait at the worker.
+constexpr auto poll_grace = core::duration{std::chrono::milliseconds{200}};
+constexpr auto idle_limit = core::duration{std::chrono::seconds{60}};
+
+/// What an HTTP answer to an order means.
+auto to_answer(net::http_result const& result, worker_reply const& reply)
+    -> core::worker_answer
+{
+    using enum core::worker_answer;
+    if (result.m_run == core::run_state::not_run)
+        return unreachable;
+    if (result.m_run != core::run_state::ran)
+        return unknown;
+    switch (result.m_answer.m_status)
+    {
+    case 200:
+        return accepted;
+    case 409:
+        if (reply.m_reason == "fence")
+            return fenced;
+        if (reply.m_reason == "old")
+            return outdated;
+        return reply.m_reason == "late" ? late : no_room;
+    case 421:
+        return other_lifetime;
+    case 400:
+        return invalid;
+    default:
+        return unhealthy;
+    }
+}
+
+} // namespace
+
+worker_api::worker_api(process::process& target, net::socket_address worker)
+    : m_process{target}, m_polls{target.loop(),
+                                 worker,
+                                 {.m_idle_limit = idle_limit}},
+      m_orders{target.loop(), worker, {.m_idle_limit = idle_limit}}
+{
+    m_process.run_start_wanted().connect(
+        [this](core::start_run const& order)
+        {
+            start(order);
+        });
+    m_process.run_stop_wanted().connect(
+        [this](core::stop_run const& order)
+        {
+            stop(order);
+        });
+    m_process.poll_wanted().connect(
+        [this](core::poll_runs const& order)
+        {
+            poll(order);
+        });
+}
+
+auto worker_api::open(process::process& target,
+                      std::string_view reports_address,
+                      std::string_view worker_address)
+    -> leaf::result<std::unique_ptr<worker_api>>
+{
+    BOOST_LEAF_AUTO(worker, net::socket_address::parse(worker_address));
+    auto api = std::unique_ptr<worker_api>{new worker_api{target, worker}};
+    auto server = std::make_unique<net::http_server>(
+        target.loop(), net::http_server_settings{},
+        [self = api.get()](net::http_request const& request)
+        {
+            self->handle(request);
+        });
+    BOOST_LEAF_CHECK(server->listen(reports_address));
+    api->m_server = &target.add_server(std::move(server));
+    return api;
+}
+
+auto worker_api::handle(net::http_request const& request) -> void
+{
+    auto const path = std::string_view{request.m_path};
+    if (!path.starts_with(reports_prefix))
+        return m_server->answer(request.m_exchange, 404, {}, "{}");
+    auto const worker = path.substr(reports_prefix.size());
+    if (request.m_method == "PUT")
+        return report(request, worker);
+    if (request.m_method == "DELETE")
+        m_process.feed(core::worker_left{std::string{worker}});
+    m_server->answer(request.m_exchange, 200,
+                     {{"Content-Type", "application/json"}}, "{}");
+}
+
+auto worker_api::report(net::http_request const& request,
+                        std::string_view worker) -> void
+{
+    auto const reject = [&](std::string_view cause)
+    {
+        m_process.log(
+            {core::log_level::warning,
+             "worker_report_rejected",
+             {{"worker", std::string{worker}}, {"cause", std::string{cause}}}});
+        m_server->answer(request.m_exchange, 400, {}, "{}");
+    };
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(news, parse_worker_report(worker, request.m_body));
+            m_process.feed(core::worker_reported{std::move(news)});
+            m_server->answer(request.m_exchange, 200,
+                             {{"Content-Type", "application/json"}}, "{}");
+            return {};
+        },
+        [&](body_error const& error)
+        {
+            reject(error.m_text);
+        },
+        [&]
+        {
+            reject("not understood");
+        });
+}
+
+auto worker_api::to_call(std::string_view path,
+                         core::worker_target const& target, std::string body,
+                         core::duration limit) -> net::http_call
+{
+    auto call = net::http_call{};
+    call.m_path = path;
+    call.m_headers = {{"Content-Type", "application/json"},
+                      {lifetime_header, target.m_worker}};
+    call.m_body = std::move(body);
+    call.m_deadline = limit;
+    return call;
+}
+
+auto worker_api::start(core::start_run const& order) -> void
+{
+    auto const finished =
+        [this, run = order.m_run](net::http_result const& result)
+    {
+        auto const reply = parse_worker_reply(result.m_answer.m_body);
+        m_process.feed(core::run_start_answered{run, to_answer(result, reply),
+                                                reply.m_clock_ms});
+    };
+    m_orders.start(to_call("/api/run-start", order.m_target, print_start(order),
+                           order_limit),
+                   finished);
+}
+
+auto worker_api::stop(core::stop_run const& order) -> void
+{
+    auto const finished =
+        [this, run = order.m_run](net::http_result const& result)
+    {
+        auto const reply = parse_worker_reply(result.m_answer.m_body);
+        m_process.feed(core::run_stop_answered{run, to_answer(result, reply),
+                                               reply.m_clock_ms});
+    };
+    m_orders.start(to_call("/api/run-stop", order.m_target, print_stop(order),
+                           order_limit),
+                   finished);
+}
+
+auto worker_api::poll(core::poll_runs const& order) -> void
+{
+    auto const limit = std::chrono::milliseconds{order.m_wait_ms} + poll_grace;
+    m_polls.start(
+        to_call("/api/hold", order.m_target, print_poll(order), limit),
+        [this, order](net::http_result const& result)
+        {
+            polled(order, result);
+        });
+}
+
+auto worker_api::polled(core::poll_runs const& order,
+                        net::http_result const& result) -> void
+{
+    auto const reply = parse_worker_reply(result.m_answer.m_body);
+    auto news = core::runs_polled{};
+    news.m_answer = to_answer(result, reply);
+    if (news.m_answer == core::worker_answer::accepted)
+        news = leaf::try_handle_all(
+            [&]() -> leaf::result<core::runs_polled>
+            {
+                BOOST_LEAF_AUTO(listed, parse_runs(result.m_answer.m_body));
+                listed.m_answer = core::worker_answer::accepted;
+                return listed;
+            },
+            [&](body_error const& error)
+            {
+                m_process.log({core::log_level::warning,
+                               "worker_answer_unreadable",
+                               {{"cause", error.m_text}}});
+                auto unreadable = core::runs_polled{};
+                unreadable.m_answer = core::worker_answer::unhealthy;
+                return unreadable;
+            },
+            []
+            {
+                auto unreadable = core::runs_polled{};
+                unreadable.m_answer = core::worker_answer::unhealthy;
+                return unreadable;
+            });
+    news.m_poll = order.m_poll;
+    news.m_clock_ms = reply.m_clock_ms;
+    m_process.feed(news);
+}
+
+} // namespace hickorylatch::platform
--- /dev/null
+++ b/src/platform/worker_api.hpp
@@ -0,0 +1,57 @@
+#ifndef HICKORYLATCH_PLATFORM_WORKER_API_HPP
+#define HICKORYLATCH_PLATFORM_WORKER_API_HPP
+
+#include "net/http_client.hpp"
+#include "net/http_message.hpp"
+#include "net/http_server.hpp"
+#include "net/socket_address.hpp"
+#include "process/process.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string_view>
+
+namespace hickorylatch::platform
+{
+
+/// Both directions between an agent and the worker beside it: the worker's
+/// reports of itself, and the orders to it.
+class worker_api
+{
+public:
+    /// Errors: `net::error`.
+    [[nodiscard]] static auto open(process::process& target,
+                                   std::string_view reports_address,
+                                   std::string_view worker_address)
+        -> boost::leaf::result<std::unique_ptr<worker_api>>;
+
+    worker_api(worker_api const&) = delete;
+    auto operator=(worker_api const&) -> worker_api& = delete;
+
+private:
+    worker_api(process::process& target, net::socket_address worker);
+
+    auto handle(net::http_request const& request) -> void;
+    auto report(net::http_request const& request, std::string_view worker)
+        -> void;
+    auto start(core::start_run const& order) -> void;
+    auto stop(core::stop_run const& order) -> void;
+    auto poll(core::poll_runs const& order) -> void;
+    auto polled(core::poll_runs const& order, net::http_result const& result)
+        -> void;
+    [[nodiscard]] static auto to_call(std::string_view path,
+                                      core::worker_target const& target,
+                                      std::string body, core::duration limit)
+        -> net::http_call;
+
+    process::process& m_process;
+    net::http_server* m_server = nullptr;
+    /// Polls wait at the worker, so they have a connection of their own.
+    net::http_client m_polls;
+    net::http_client m_orders;
+};
+
+} // namespace hickorylatch::platform
+
+#endif
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -141,6 +141,7 @@
                 self.m_node.m_entry.emplace();
             if (self.m_settings.m_agent)
                 BOOST_LEAF_CHECK(self.open_agent());
+            self.open_placement();
             BOOST_LEAF_CHECK(self.open_links());
             BOOST_LEAF_CHECK(self.open_servers());
             self.connect_signals();
@@ -165,9 +166,10 @@
     limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
     m_node.m_id = opened.m_recovered.m_identity;
     m_node.m_address = wanted.m_listen_address;
-    m_node.m_control.emplace(
-        limits, core::replica_settings{}, std::move(opened.m_recovered),
-        core::image_codec{encode_image, decode_image}, wanted.m_listen_address);
+    m_node.m_control.emplace(limits, core::replica_settings{},
+                             std::move(opened.m_recovered),
+                             core::image_codec{encode_image, decode_image},
+                             wanted.m_listen_address, wanted.m_group);
     m_durable =
         std::make_unique<durable_log>(m_loop, std::move(opened.m_folder));
     return {};
@@ -195,6 +197,22 @@
     return {};
 }
 
+auto process::open_placement() -> void
+{
+    auto const& seeds = m_settings.m_control_addresses;
+    if (auto const& wanted = m_settings.m_broker)
+    {
+        m_node.m_address = wanted->m_listen_address;
+        m_node.m_broker.emplace(core::broker_settings{
+            seeds, wanted->m_spread_factor,
+            std::chrono::milliseconds{wanted->m_lease_ms}});
+    }
+    if (auto const& wanted = m_settings.m_executor)
+        m_node.m_executor.emplace(core::executor_settings{
+            seeds, m_settings.m_failure_domain,
+            std::chrono::milliseconds{wanted->m_lease_ms}});
+}
+
 auto process::open_links() -> boost::leaf::result<void>
 {
     auto wanted = net::peer_links_settings{};
@@ -211,6 +229,9 @@
     if (m_settings.m_control)
         BOOST_LEAF_CHECK(
             m_links->listen(m_settings.m_control->m_listen_address));
+    else if (m_settings.m_broker)
+        BOOST_LEAF_CHECK(
+            m_links->listen(m_settings.m_broker->m_listen_address));
     return {};
 }
 
@@ -218,9 +239,11 @@
 {
     auto operators = net::http_server_settings{};
     auto const operators_address =
-        m_settings.m_entry     ? m_settings.m_entry->m_operators_address
-        : m_settings.m_control ? m_settings.m_control->m_operators_address
-                               : m_settings.m_agent->m_operators_address;
+        m_settings.m_entry      ? m_settings.m_entry->m_operators_address
+        : m_settings.m_control  ? m_settings.m_control->m_operators_address
+        : m_settings.m_broker   ? m_settings.m_broker->m_operators_address
+        : m_settings.m_executor ? m_settings.m_executor->m_operators_address
+                                : m_settings.m_agent->m_operators_address;
     BOOST_LEAF_CHECK(
         open_server(operators_address, audience::operators, operators));
     if (!m_settings.m_entry)
@@ -266,7 +289,10 @@
         {
             m_log.write({core::log_level::info, "stop_requested", {}});
             for (auto const& server : m_servers)
-                server->stop_accepting();
+                server->drain();
+            // A broker still takes jobs until balancers have noticed.
+            if (!m_settings.m_broker)
+                stop_accepting();
             feed(core::stop_requested{});
         });
     m_links->peer_connected().connect(
@@ -459,7 +485,108 @@
 auto process::carry_out(core::exit_process& wanted) -> void
 {
     static_cast<void>(wanted);
+    stop_accepting();
     finish_when_flushed();
 }
 
+auto process::stop_accepting() -> void
+{
+    for (auto const& server : m_servers)
+        server->stop_accepting();
+}
+
+auto process::carry_out(core::answer_job& wanted) -> void
+{
+    m_job_answered.emit(wanted);
+}
+
+auto process::carry_out(core::answer_pending& wanted) -> void
+{
+    m_pending_answered.emit(wanted);
+}
+
+auto process::carry_out(core::start_run& wanted) -> void
+{
+    m_run_start_wanted.emit(wanted);
+}
+
+auto process::carry_out(core::stop_run& wanted) -> void
+{
+    m_run_stop_wanted.emit(wanted);
+}
+
+auto process::carry_out(core::poll_runs& wanted) -> void
+{
+    m_poll_wanted.emit(wanted);
+}
+
+auto process::next_exchange() -> core::exchange_id
+{
+    return ++m_exchange;
+}
+
+auto process::loop() -> net::event_loop&
+{
+    return m_loop;
+}
+
+auto process::node() const -> core::node const&
+{
+    return m_node;
+}
+
+auto process::log(core::log_line const& line) -> void
+{
+    m_log.write(line);
+}
+
+auto process::observe(core::observe_metric const& sample) -> void
+{
+    m_metrics.observe(sample);
+}
+
+auto process::add_server(std::unique_ptr<net::http_server> server)
+    -> net::http_server&
+{
+    m_servers.push_back(std::move(server));
+    return *m_servers.back();
+}
+
+auto process::job_answered() -> sigc::signal<void(core::answer_job const&)>&
+{
+    return m_job_answered;
+}
+
+auto process::pending_answered()
+    -> sigc::signal<void(core::answer_pending const&)>&
+{
+    return m_pending_answered;
+}
+
+auto process::operation_answered()
+    -> sigc::signal<void(core::reply_operator const&)>&
+{
+    return m_operation_answered;
+}
+
+auto process::run_start_wanted() -> sigc::signal<void(core::start_run const&)>&
+{
+    return m_run_start_wanted;
+}
+
+auto process::run_stop_wanted() -> sigc::signal<void(core::stop_run const&)>&
+{
+    return m_run_stop_wanted;
+}
+
+auto process::poll_wanted() -> sigc::signal<void(core::poll_runs const&)>&
+{
+    return m_poll_wanted;
+}
+
+auto process::reload_requested() -> sigc::signal<void()>&
+{
+    return m_signals.reopen_requested();
+}
+
 } // namespace hickorylatch::process
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -48,6 +48,31 @@
     /// Runs until a graceful shutdown. Returns the exit code.
     auto run() -> int;
 
+    // For adapters, which have protocols of their own.
+
+    /// Passes an event to the reducer and carries out its effects.
+    auto feed(core::event const& incoming) -> void;
+    /// Number for an exchange that an adapter answers.
+    [[nodiscard]] auto next_exchange() -> core::exchange_id;
+    [[nodiscard]] auto loop() -> net::event_loop&;
+    [[nodiscard]] auto node() const -> core::node const&;
+    auto log(core::log_line const& line) -> void;
+    auto observe(core::observe_metric const& sample) -> void;
+    /// A server whose answers must be written before the process ends.
+    auto add_server(std::unique_ptr<net::http_server> server)
+        -> net::http_server&;
+
+    auto job_answered() -> sigc::signal<void(core::answer_job const&)>&;
+    auto pending_answered() -> sigc::signal<void(core::answer_pending const&)>&;
+    /// Of an operation with a number from `next_exchange`.
+    auto operation_answered()
+        -> sigc::signal<void(core::reply_operator const&)>&;
+    auto run_start_wanted() -> sigc::signal<void(core::start_run const&)>&;
+    auto run_stop_wanted() -> sigc::signal<void(core::stop_run const&)>&;
+    auto poll_wanted() -> sigc::signal<void(core::poll_runs const&)>&;
+    /// SIGHUP.
+    auto reload_requested() -> sigc::signal<void()>&;
+
 private:
     enum class audience : std::uint8_t
     {
@@ -67,6 +92,7 @@
 
     [[nodiscard]] auto open_control() -> boost::leaf::result<void>;
     [[nodiscard]] auto open_agent() -> boost::leaf::result<void>;
+    auto open_placement() -> void;
     [[nodiscard]] auto open_links() -> boost::leaf::result<void>;
     [[nodiscard]] auto open_servers() -> boost::leaf::result<void>;
     [[nodiscard]] auto open_server(std::string const& address, audience who,
@@ -74,7 +100,6 @@
         -> boost::leaf::result<void>;
     auto connect_signals() -> void;
 
-    auto feed(core::event const& incoming) -> void;
     auto carry_out(core::effect& wanted) -> void;
     auto carry_out(core::send& wanted) -> void;
     auto carry_out(core::append_log& wanted) -> void;
@@ -89,6 +114,11 @@
     auto carry_out(core::record_span& wanted) -> void;
     auto carry_out(core::observe_metric& wanted) -> void;
     auto carry_out(core::exit_process& wanted) -> void;
+    auto carry_out(core::answer_job& wanted) -> void;
+    auto carry_out(core::answer_pending& wanted) -> void;
+    auto carry_out(core::start_run& wanted) -> void;
+    auto carry_out(core::stop_run& wanted) -> void;
+    auto carry_out(core::poll_runs& wanted) -> void;
 
     auto handle_caller(net::http_server& server,
                        net::http_request const& request) -> void;
@@ -115,6 +145,7 @@
         -> void;
     auto read_clock() -> void;
     auto finish_when_flushed() -> void;
+    auto stop_accepting() -> void;
     [[nodiscard]] auto current_config() const -> core::configuration const&;
 
     settings::settings m_settings;
@@ -133,6 +164,12 @@
     net::timer m_flush;
     std::map<core::exchange_id, open_exchange> m_exchanges;
     core::exchange_id m_exchange = 0;
+    sigc::signal<void(core::answer_job const&)> m_job_answered;
+    sigc::signal<void(core::answer_pending const&)> m_pending_answered;
+    sigc::signal<void(core::reply_operator const&)> m_operation_answered;
+    sigc::signal<void(core::start_run const&)> m_run_start_wanted;
+    sigc::signal<void(core::stop_run const&)> m_run_stop_wanted;
+    sigc::signal<void(core::poll_runs const&)> m_poll_wanted;
     int m_exit_code = 0;
     unsigned m_flush_rounds = 0;
 };
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -288,7 +288,10 @@
 
 auto process::carry_out(core::reply_operator& wanted) -> void
 {
-    answer(wanted.m_exchange, print_operator_reply(wanted.m_result));
+    if (m_exchanges.contains(wanted.m_exchange))
+        answer(wanted.m_exchange, print_operator_reply(wanted.m_result));
+    else
+        m_operation_answered.emit(wanted);
 }
 
 auto process::current_config() const -> core::configuration const&
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -2,6 +2,7 @@
 #define HICKORYLATCH_SETTINGS_SETTINGS_HPP
 
 #include "core/model/effect.hpp"
+#include "core/model/group_settings.hpp"
 #include "core/model/message.hpp"
 #include "settings/parse_errors.hpp"
 
@@ -71,6 +72,32 @@
     /// Syncs every write before it counts. Default: true. False is for tests
     /// only: acceptances can be lost when a VM stops.
     bool m_fsync = true;
+    /// The group founds and repairs itself from these replicas. Set by
+    /// adapters only; otherwise operators do both.
+    core::group_settings m_group = {};
+};
+
+/// The broker role: step jobs, placed on workers directly. Set by adapters
+/// only.
+struct broker_settings
+{
+    /// "ip:port" where agents connect.
+    std::string m_listen_address;
+    /// "ip:port" of metrics and health.
+    std::string m_operators_address;
+    /// How much longer a task runs away from the rack with its data.
+    double m_spread_factor = 1.0;
+    /// Longest lease that a worker grants, in milliseconds.
+    std::uint32_t m_lease_ms = 1'000;
+};
+
+/// The executor role: runs of step jobs at one worker. Set by adapters only.
+struct executor_settings
+{
+    /// "ip:port" of metrics and health.
+    std::string m_operators_address;
+    /// Longest lease that the worker grants, in milliseconds.
+    std::uint32_t m_lease_ms = 1'000;
 };
 
 /// The agent role: announces one endpoint or worker and gates its starts.
@@ -131,6 +158,10 @@
     std::optional<control_settings> m_control;
     /// Agent role. Default: none.
     std::optional<agent_settings> m_agent;
+    /// Broker role. Default: none.
+    std::optional<broker_settings> m_broker = std::nullopt;
+    /// Executor role. Default: none.
+    std::optional<executor_settings> m_executor = std::nullopt;
 };
 
 /// Parses settings: JSON with comments and trailing commas. Reads no other
--- a/src/storage/inspect.cpp
+++ b/src/storage/inspect.cpp
@@ -22,7 +22,8 @@
                std::string_view{"end_submission"},
                std::string_view{"change_configuration"},
                std::string_view{"expire_keys"},
-               std::string_view{"change_membership"}};
+               std::string_view{"change_membership"},
+               std::string_view{"install_configuration"}};
 static_assert(command_names.size() == std::variant_size_v<core::command>);
 
 auto print_command(std::ostream& out, core::command const& value) -> void
@@ -44,6 +45,9 @@
     if (auto const* change = std::get_if<core::change_membership>(&value))
         out << " request=\"" << change->m_request_id
             << "\" members=" << change->m_members.size();
+    if (auto const* installed =
+            std::get_if<core::install_configuration>(&value))
+        out << " version=" << installed->m_configuration.m_version;
 }
 
 auto print_members(std::ostream& out, std::vector<core::member> const& members)
