Let a job run as long as its client waits

The queue's timeout is no limit for jobs: their clients say how long they wait, and a job that ends in that time is of use. A job that runs out of time is answered 504, because it has neither failed nor provably not run.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -274,13 +274,10 @@
             answer_job{request.m_exchange, outcome, job_state::failed});
         return;
     }
-    auto wait =
+    auto const wait =
         request.m_client_wait_ms != 0
             ? duration{std::chrono::milliseconds{request.m_client_wait_ms}}
             : default_wait;
-    if (queue->m_timeout_ms != 0)
-        wait = std::min(
-            wait, duration{std::chrono::milliseconds{queue->m_timeout_ms}});
     auto const number = ++m_last_job;
     auto const job = m_jobs
                          .emplace(number, placed_job{number, request, *queue,
@@ -397,8 +394,12 @@
                              {
                                  return task.m_state == task_state::placed;
                              });
+    // A job has failed when a task has used up its runs; one that runs out of
+    // time has neither failed nor provably not run.
     auto const outcome = is_untouched ? refused(why, {}, busy_retry_ms)
-                                      : job_verdict(run_state::ran, why);
+                         : why == reason::call_failed
+                             ? job_verdict(run_state::ran, why)
+                             : uncertain(why);
     finish(now, job, outcome, job_state::failed, out);
 }
 
--- a/src/platform/clients_api.cpp
+++ b/src/platform/clients_api.cpp
@@ -46,6 +46,8 @@
 {
     if (outcome.m_run == core::run_state::ran)
         return 200;
+    if (outcome.m_run == core::run_state::may_have_run)
+        return 504;
     switch (outcome.m_reason)
     {
     case core::reason::unknown_service:
