Learn a worker's pace from logarithms over more runs

Cause: the mean of actual over expected run times follows single runs, since declarations are wrong by half; a worker once rated slow got no runs and kept its rating. At 25 s six of eleven workers idled with ratings of 1.5 to 1.9 while the others queued. The pace now averages logarithms over 150 runs, with a second average over 8 for a sudden change by a factor of 2, and returns to 1 without runs.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -34,9 +34,6 @@
 // run times are commonly wrong by a factor of 1.5.
 constexpr auto hang_factor = 4.0;
 constexpr auto hang_grace = duration{std::chrono::milliseconds{100}};
-// A worker's slowness follows about this many of its last runs.
-constexpr auto slowness_weight = 1.0 / 24;
-constexpr auto slowness_limit = 8.0;
 
 auto to_milliseconds(duration value) -> std::int64_t
 {
@@ -221,7 +218,7 @@
     m_lease_until_ms = 0;
     m_is_reachable = true;
     m_health = {};
-    m_slowness = 1.0;
+    m_pace = {};
     m_probe = {};
     // Runs of an earlier process of this agent are found by the first poll.
     m_has_unacknowledged = true;
@@ -520,13 +517,7 @@
     if (outcome == run_outcome::succeeded)
     {
         m_health.succeeded(now);
-        if (ended.m_expected <= duration{0})
-            return;
-        auto const factor =
-            std::min(std::chrono::duration<double>(now - ended.m_started_at) /
-                         std::chrono::duration<double>(ended.m_expected),
-                     slowness_limit);
-        m_slowness += (factor - m_slowness) * slowness_weight;
+        m_pace.observe(now, ended.m_expected, now - ended.m_started_at);
     }
     else if (outcome == run_outcome::failed || ended.m_is_hung)
         m_health.failed(now);
@@ -575,7 +566,7 @@
         }
         if (run.m_state == run_state::running && !run.m_is_hung &&
             run.m_expected > duration{0} &&
-            now - run.m_started_at >= hang_limit(run))
+            now - run.m_started_at >= hang_limit(now, run))
         {
             run.m_is_hung = true;
             out.emplace_back(log_line{
@@ -598,11 +589,11 @@
     }
 }
 
-auto executor::hang_limit(live_run const& run) const -> duration
+auto executor::hang_limit(time_point now, live_run const& run) const -> duration
 {
     auto const expected =
         std::chrono::duration<double, duration::period>(run.m_expected) *
-        hang_factor * std::max(m_slowness, 1.0);
+        hang_factor * std::max(m_pace.slowness(now), 1.0);
     return std::chrono::duration_cast<duration>(expected) + hang_grace;
 }
 
@@ -751,14 +742,15 @@
     auto news = worker_load{};
     news.m_accepts = accepts(now);
     news.m_free = free_room();
-    news.m_slowness_permille = static_cast<std::uint32_t>(m_slowness * 1000);
     news.m_sent_at = now;
+    auto const slowness = m_pace.slowness(now);
+    news.m_slowness_permille = static_cast<std::uint32_t>(slowness * 1000);
     auto releases = std::vector<room_release>{};
     for (auto const& [key, run] : m_live)
     {
         auto const expected = std::chrono::duration_cast<duration>(
             std::chrono::duration<double, duration::period>(run.m_expected) *
-            m_slowness);
+            slowness);
         releases.push_back(
             {std::max(now, run.m_started_at + expected), run.m_needs});
     }
@@ -836,7 +828,8 @@
                              m_clock.certainly_reached(run.m_lease_until_ms));
         if (run.m_state == run_state::running && !run.m_is_hung &&
             run.m_expected > duration{0})
-            first = std::min(first, run.m_started_at + hang_limit(run));
+            first = std::min(first, run.m_started_at +
+                                        hang_limit(run.m_started_at, run));
     }
     for (auto const& [node, entry] : m_contacts)
         if (!entry.m_is_expired)
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -6,6 +6,7 @@
 #include "core/placement/link_targets.hpp"
 #include "core/placement/run_queue.hpp"
 #include "core/placement/worker_clock.hpp"
+#include "core/placement/worker_pace.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -147,7 +148,8 @@
     [[nodiscard]] auto load(time_point now) const -> worker_load;
     [[nodiscard]] auto free_room() const -> resources;
     [[nodiscard]] auto target() const -> worker_target;
-    [[nodiscard]] auto hang_limit(live_run const& run) const -> duration;
+    [[nodiscard]] auto hang_limit(time_point now, live_run const& run) const
+        -> duration;
 
     executor_settings m_settings;
     link_targets m_links;
@@ -156,7 +158,7 @@
     std::uint64_t m_token = 0;
     bool m_is_reachable = false;
     agent_health m_health;
-    double m_slowness = 1.0;
+    worker_pace m_pace;
     resources m_probe;
 
     run_queue m_queue;
--- a/src/core/placement/run_time_ratio.hpp
+++ b/src/core/placement/run_time_ratio.hpp
@@ -18,7 +18,8 @@
     [[nodiscard]] auto expected(duration declared) const -> duration;
 
 private:
-    double m_ratio = 1.0;
+    /// Mean logarithm of the actual over the declared run time.
+    double m_log_ratio = 0.0;
     double m_mean_us = 0.0;
 };
 
