--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -12,6 +12,10 @@
 // Agents send a load every 150 ms; two may be lost.
 constexpr auto silence_limit = duration{std::chrono::milliseconds{400}};
 
+// Waits are forecasts from declared run times, and a task that waits for a fast
+// worker while another one idles delays those behind it.
+constexpr auto wait_weight = 2;
+
 auto has_label(worker_report const& worker, std::string_view label) -> bool
 {
     return std::ranges::find(worker.m_labels, label) != worker.m_labels.end();
@@ -129,7 +133,7 @@
     auto choice = placement_choice{};
     choice.m_wait = wait_time(worker, wanted);
     choice.m_finish =
-        choice.m_wait +
+        choice.m_wait * wait_weight +
         std::chrono::duration_cast<duration>(
             std::chrono::duration<double, duration::period>(wanted.m_expected) *
             factor);
