Notice silent links by pings

Cause: a control VM that loses power leaves its links open. Entries connected to its next process only when the kernel gave up the old link, after 9 s, and missed configurations until then. Links now carry an empty frame when nothing else was sent, and one without a sign of life is closed: after 0.36 s between entries and agents, 0.9 s towards control.

--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -67,6 +67,8 @@
     /// Set once the peer's hello was accepted.
     std::optional<core::hello> m_peer = std::nullopt;
     core::time_point m_ready_at{0};
+    core::time_point m_heard_at{0};
+    core::time_point m_sent_at{0};
     /// Another link to the same node is used; the peer closes this one.
     bool m_is_superseded = false;
     std::unique_ptr<peer_link> m_link;
@@ -94,15 +96,22 @@
                      {
                          evconnlistener_enable(m_listener.get());
                      }},
-      m_cleanup{loop, [this]
+      m_cleanup{loop,
+                [this]
                 {
                     std::erase_if(m_links,
                                   [](auto const& item)
                                   {
                                       return item.second->m_link->is_closed();
                                   });
-                }}
+                }},
+      m_liveness{loop, [this]
+                 {
+                     check_liveness();
+                 }}
 {
+    if (check_interval() > core::duration{0})
+        m_liveness.start(check_interval());
 }
 
 peer_links::~peer_links() = default;
@@ -179,6 +188,7 @@
                    "message over the frame limit");
     }
     link.send_frame(body);
+    m_links.at(found->second)->m_sent_at = m_loop.now();
     if (link.unsent() > m_settings.m_output_limit)
         fail(found->second, "unsent bytes over the limit");
 }
@@ -306,7 +316,8 @@
 auto peer_links::frame_received(link_id id, std::string_view body) -> void
 {
     auto& link = *m_links.at(id);
-    if (link.m_is_superseded)
+    link.m_heard_at = m_loop.now();
+    if (link.m_is_superseded || (link.m_peer && body.empty()))
         return;
     auto const decode = [body]() -> leaf::result<std::optional<core::message>>
     {
@@ -370,6 +381,7 @@
     link.m_link->set_frame_limit(m_settings.m_frame_limit);
     link.m_peer = *peer;
     link.m_ready_at = m_loop.now();
+    link.m_sent_at = link.m_ready_at;
     m_by_node[peer->m_node] = link.m_id;
     m_peer_connected.emit(*peer);
 }
@@ -444,6 +456,55 @@
     target.m_backoff = std::min(target.m_backoff * 2, m_settings.m_backoff_max);
 }
 
+auto peer_links::liveness_of(core::hello const& peer) const
+    -> link_liveness const&
+{
+    auto const has_control = peer.m_role == core::role::control ||
+                             m_settings.m_hello.m_role == core::role::control;
+    return has_control ? m_settings.m_control_liveness
+                       : m_settings.m_work_liveness;
+}
+
+auto peer_links::check_interval() const -> core::duration
+{
+    // Half an interval keeps a ping at most that much late.
+    auto const work = m_settings.m_work_liveness.m_ping_interval / 2;
+    auto const control = m_settings.m_control_liveness.m_ping_interval / 2;
+    if (work == core::duration{0} ||
+        m_settings.m_hello.m_role == core::role::control)
+        return control;
+    return control == core::duration{0} ? work : std::min(work, control);
+}
+
+auto peer_links::check_liveness() -> void
+{
+    auto const now = m_loop.now();
+    auto const late = now - m_checked_at - check_interval();
+    m_checked_at = now;
+    m_liveness.start(check_interval());
+    auto silent = std::vector<link_id>{};
+    for (auto const& [id, link] : m_links)
+    {
+        if (!link->m_peer || link->m_link->is_closed())
+            continue;
+        auto const& limits = liveness_of(*link->m_peer);
+        if (limits.m_ping_interval > core::duration{0} &&
+            now - link->m_sent_at >= limits.m_ping_interval)
+        {
+            link->m_link->send_frame({});
+            link->m_sent_at = now;
+        }
+        // After this process itself stood still, what arrived meanwhile has to
+        // be read first.
+        if (limits.m_silence_limit > core::duration{0} &&
+            now - link->m_heard_at >= limits.m_silence_limit &&
+            late < limits.m_silence_limit / 2)
+            silent.push_back(id);
+    }
+    for (auto const id : silent)
+        fail(id, "silent");
+}
+
 auto peer_links::log(core::log_level level, std::string_view event,
                      std::string_view remote, std::string_view cause) -> void
 {
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -27,6 +27,15 @@
 
 class tls_context;
 
+/// How a link that went silent without being closed is noticed.
+struct link_liveness
+{
+    /// An empty frame is sent when nothing else was for this long; 0 for never.
+    core::duration m_ping_interval{0};
+    /// A link on which nothing arrived for this long is closed; 0 for never.
+    core::duration m_silence_limit{0};
+};
+
 struct peer_links_settings
 {
     /// What this process says on each link.
@@ -40,6 +49,10 @@
     /// Delay before a broken link is opened again; doubles after each failure.
     core::duration m_backoff_min = std::chrono::milliseconds{50};
     core::duration m_backoff_max = std::chrono::seconds{1};
+    /// For links with a control replica at either end.
+    link_liveness m_control_liveness;
+    /// For the other links, which carry work.
+    link_liveness m_work_liveness;
     /// Encrypts and authenticates all links if set.
     std::shared_ptr<tls_context const> m_tls;
 };
@@ -99,6 +112,12 @@
     auto drop(link_id id) -> void;
     auto release_target(link_state const& link) -> void;
     auto schedule_dial(target_state& target) -> void;
+    /// Sends pings and closes silent links.
+    auto check_liveness() -> void;
+    [[nodiscard]] auto liveness_of(core::hello const& peer) const
+        -> link_liveness const&;
+    /// Time between two checks; 0 for none.
+    [[nodiscard]] auto check_interval() const -> core::duration;
     auto log(core::log_level level, std::string_view event,
              std::string_view remote, std::string_view cause) -> void;
 
@@ -113,6 +132,8 @@
     timer m_accept_retry;
     /// Destroys closed links outside their own callbacks.
     timer m_cleanup;
+    timer m_liveness;
+    core::time_point m_checked_at{0};
 
     sigc::signal<void(core::hello const&)> m_peer_connected;
     sigc::signal<void(core::node_id)> m_peer_disconnected;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -25,6 +25,19 @@
 constexpr auto flush_interval = std::chrono::milliseconds{10};
 constexpr auto flush_rounds_limit = 500U;
 
+// A VM without power answers nothing, and its next process should be found soon
+// after it starts. A hello takes a few round trips.
+constexpr auto hello_timeout = core::duration{std::chrono::milliseconds{700}};
+constexpr auto longest_backoff = core::duration{std::chrono::milliseconds{400}};
+// A configuration must reach every process within 2 s of its acceptance, also
+// if the link went silent just before.
+constexpr auto control_liveness = net::link_liveness{
+    std::chrono::milliseconds{300}, std::chrono::milliseconds{900}};
+// A link that carries work is renewed before the agent gives the entry up,
+// after 500 ms.
+constexpr auto work_liveness = net::link_liveness{
+    std::chrono::milliseconds{120}, std::chrono::milliseconds{360}};
+
 auto random_number() -> std::uint64_t
 {
     auto device = std::random_device{};
@@ -218,6 +231,10 @@
     auto wanted = net::peer_links_settings{};
     wanted.m_hello = core::greeting(m_node);
     wanted.m_frame_limit = m_settings.m_frame_limit_bytes;
+    wanted.m_hello_timeout = hello_timeout;
+    wanted.m_backoff_max = longest_backoff;
+    wanted.m_control_liveness = control_liveness;
+    wanted.m_work_liveness = work_liveness;
     if (auto const& files = m_settings.m_tls)
     {
         BOOST_LEAF_ASSIGN(wanted.m_tls,
--- a/tests/net/test_peer_links.cpp
+++ b/tests/net/test_peer_links.cpp
@@ -301,6 +301,49 @@
     BOOST_TEST(server.m_causes.front() == "no hello in time");
 }
 
+// Guards against a link that a vanished VM leaves open: without it the next
+// process there would not be connected to until the kernel gave up.
+BOOST_AUTO_TEST_CASE(silent_link_is_closed)
+{
+    auto loop = net::event_loop{};
+    auto made = settings(1);
+    made.m_work_liveness = {std::chrono::milliseconds{10},
+                            std::chrono::milliseconds{40}};
+    auto server = node{loop, made};
+    auto silent = raw_socket{server.m_links.port()};
+    silent.send(frame(settings(2).m_hello));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return !server.m_disconnected.empty();
+                         }));
+    BOOST_TEST(server.m_causes.back() == "silent");
+}
+
+// Guards against pings that do not count as a sign of life, or that are taken
+// for messages.
+BOOST_AUTO_TEST_CASE(idle_link_is_kept_by_pings)
+{
+    auto loop = net::event_loop{};
+    auto made = settings(1);
+    made.m_work_liveness = {std::chrono::milliseconds{10},
+                            std::chrono::milliseconds{200}};
+    auto server = node{loop, made};
+    made.m_hello.m_node = core::node_id{2};
+    auto client = node{loop, made};
+    client.keep({server.address()});
+    BOOST_TEST(until_size(loop, server.m_connected, 1));
+    auto const until = loop.now() + std::chrono::milliseconds{500};
+    run_until(loop,
+              [&]
+              {
+                  return loop.now() >= until;
+              });
+    BOOST_TEST(server.m_disconnected.empty());
+    BOOST_TEST(client.m_disconnected.empty());
+    BOOST_TEST(server.m_received.empty());
+}
+
 // Guards against a peer that does not read and makes this process buffer
 // without bound.
 BOOST_AUTO_TEST_CASE(link_over_its_output_limit_is_closed)
