--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -403,8 +403,9 @@
     finish(now, job, outcome, job_state::failed, out);
 }
 
-auto broker::finish(time_point now, live_jobs::iterator job, verdict outcome,
-                    job_state state, effects& out) -> void
+auto broker::finish(time_point now, live_jobs::iterator job,
+                    verdict const& outcome, job_state state, effects& out)
+    -> void
 {
     auto const& ended = job->second;
     out.emplace_back(log_line{
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -96,7 +96,7 @@
                   random_source& random, effects& out) -> void;
     auto fail(time_point now, live_jobs::iterator job, reason why, effects& out)
         -> void;
-    auto finish(time_point now, live_jobs::iterator job, verdict outcome,
+    auto finish(time_point now, live_jobs::iterator job, verdict const& outcome,
                 job_state state, effects& out) -> void;
     auto withdraw(placed_job const& job, effects& out) -> void;
 
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -18,7 +18,7 @@
 
 control::control(control_settings settings, replica_settings log_settings,
                  recovered_state const& recovered, image_codec codec,
-                 std::string address, group_settings group)
+                 std::string address, group_settings const& group)
     : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
       m_address{std::move(address)}, m_keeper{group},
       m_has_group_settings{!group.m_seeds.empty()}, m_links{group.m_seeds,
@@ -132,9 +132,9 @@
                 send{from, not_leader{request->m_sequence, m_replica.leader(),
                                       request->m_copy}});
     }
-    else if (asked != nullptr && pending_operations::takes(asked->m_operation))
-        operate(with, {from, asked->m_sequence}, asked->m_operation);
-    else if (!is_leading(with.m_now))
+    else if (!is_leading(with.m_now) &&
+             (asked == nullptr ||
+              !pending_operations::takes(asked->m_operation)))
     {
         if (asked != nullptr)
             with.m_out.emplace_back(send{
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -35,7 +35,7 @@
 public:
     control(control_settings settings, replica_settings log_settings,
             recovered_state const& recovered, image_codec codec,
-            std::string address, group_settings group = {});
+            std::string address, group_settings const& group = {});
 
     auto start(time_point now, std::uint64_t seed, effects& out) -> void;
     auto connected(time_point now, hello const& peer, random_source& random,
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -38,7 +38,7 @@
 
 auto read_table(toml::value const& from, std::string const& name) -> toml::value
 {
-    return toml::find_or<toml::value>(from, name, toml::value{toml::table{}});
+    return toml::find_or<toml::value>(from, name, toml::value(toml::table{}));
 }
 
 auto read_number(toml::value const& from, std::string const& name,
--- /dev/null
+++ b/tests/core/placement/placement_world.cpp
@@ -0,0 +1,620 @@
+#include "core/placement/placement_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace hickorylatch::test
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr auto link_delay = milliseconds{1};
+constexpr auto worker_delay = microseconds{200};
+constexpr auto order_timeout = milliseconds{150};
+constexpr auto poll_grace = milliseconds{200};
+constexpr auto silence_limit = milliseconds{360};
+constexpr auto reconnect_delay = milliseconds{50};
+constexpr auto late_delay = std::chrono::seconds{2};
+constexpr auto report_interval = milliseconds{1500};
+
+auto run_time_of(core::start_run const& order) -> core::duration
+{
+    return microseconds{std::stoll(order.m_body)};
+}
+
+} // namespace
+
+auto make_job(std::string id, std::uint32_t tasks, core::duration declared,
+              core::duration actual, std::uint32_t millicores) -> core::step_job
+{
+    auto job = core::step_job{};
+    job.m_id = std::move(id);
+    job.m_body = std::to_string(actual.count());
+    auto step = core::job_step{};
+    step.m_count = tasks;
+    step.m_needs = {millicores, 64, 0};
+    step.m_declared_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(declared).count());
+    job.m_steps = {step};
+    return job;
+}
+
+placement_world::placement_world(std::uint64_t seed)
+{
+    m_random.seed(seed);
+}
+
+auto placement_world::at(core::time_point when, std::function<void()> action)
+    -> void
+{
+    m_events.emplace(when, std::move(action));
+}
+
+auto placement_world::after(core::duration delay, std::function<void()> action)
+    -> void
+{
+    at(m_now + delay, std::move(action));
+}
+
+auto placement_world::add_entry(std::string const& name) -> void
+{
+    auto& added = m_entries[name];
+    added.m_node = core::node_id{++m_last_node};
+    added.m_broker = std::make_unique<core::broker>(core::broker_settings{});
+    for (auto const& [worker, state] : m_workers)
+        connect(name, worker);
+}
+
+auto placement_world::add_worker(std::string const& name,
+                                 worker_model::leased_worker_settings settings,
+                                 std::vector<std::string> labels) -> void
+{
+    auto& added = m_workers[name];
+    added.m_node = core::node_id{1'000 + ++m_last_node};
+    added.m_executor =
+        std::make_unique<core::executor>(core::executor_settings{});
+    added.m_worker = std::make_unique<worker_model::leased_worker>(settings);
+    added.m_settings = settings;
+    added.m_report.m_name = name;
+    added.m_report.m_incarnation = 1;
+    added.m_report.m_service = "desk";
+    added.m_report.m_capacity = settings.m_capacity;
+    added.m_report.m_labels = std::move(labels);
+    for (auto const& [entry, state] : m_entries)
+        connect(entry, name);
+    report(added);
+}
+
+auto placement_world::configure(std::uint64_t version) -> void
+{
+    auto change = core::configuration_changed{};
+    auto& config = change.m_configuration;
+    config.m_version = version;
+    auto desk = core::service{};
+    desk.m_name = "desk";
+    config.m_services = {desk};
+    auto rank = std::uint32_t{0};
+    for (auto const* name : {"fast", "normal", "slow"})
+    {
+        auto queue = core::job_queue{};
+        queue.m_name = name;
+        queue.m_host = "desk.example";
+        queue.m_path_prefix = std::string{"/"} + name + "/";
+        queue.m_service = "desk";
+        queue.m_rank = rank++;
+        queue.m_slack_factor = 1.6;
+        queue.m_latency_ms = 60;
+        queue.m_run_limit = 3;
+        config.m_queues.push_back(queue);
+    }
+    for (auto const& [name, entry] : m_entries)
+        entry_feed(entry.m_node,
+                   [&](core::broker& broker, core::effects& out)
+                   {
+                       broker.receive(m_now, core::node_id{9'999}, change,
+                                      m_random, out);
+                   });
+}
+
+auto placement_world::submit(std::string const& entry, std::string const& queue,
+                             core::step_job job, core::duration client_wait)
+    -> core::exchange_id
+{
+    auto request = core::job_arrived{};
+    request.m_exchange = ++m_last_exchange;
+    request.m_host = "desk.example";
+    request.m_path = "/" + queue + "/" + job.m_id;
+    request.m_job = std::move(job);
+    request.m_client_wait_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(client_wait).count());
+    m_submitted[request.m_exchange] = {entry, m_now};
+    entry_feed(m_entries.at(entry).m_node,
+               [&](core::broker& broker, core::effects& out)
+               {
+                   broker.arrived(m_now, request, m_random, out);
+               });
+    return request.m_exchange;
+}
+
+auto placement_world::abandon(core::exchange_id exchange) -> void
+{
+    entry_feed(m_entries.at(m_submitted.at(exchange).first).m_node,
+               [&](core::broker& broker, core::effects& out)
+               {
+                   broker.abandoned(m_now, exchange, out);
+               });
+}
+
+auto placement_world::run_for(core::duration span) -> void
+{
+    auto const until = m_now + span;
+    while (next_time() <= until)
+    {
+        m_now = std::max(m_now, next_time());
+        tick_all();
+        while (!m_events.empty() && m_events.begin()->first <= m_now)
+        {
+            auto const action = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            action();
+        }
+    }
+    m_now = until;
+}
+
+auto placement_world::run_until_answered(core::exchange_id exchange,
+                                         core::duration span) -> bool
+{
+    auto const until = m_now + span;
+    while (answer(exchange) == nullptr && m_now < until)
+        run_for(milliseconds{1});
+    return answer(exchange) != nullptr;
+}
+
+auto placement_world::next_time() -> core::time_point
+{
+    auto first = m_events.empty() ? core::never : m_events.begin()->first;
+    for (auto const& [name, entry] : m_entries)
+        if (entry.m_broker)
+            first = std::min(first, entry.m_broker->next_deadline());
+    for (auto const& [name, worker] : m_workers)
+    {
+        first = std::min({first, worker.m_executor->next_deadline(),
+                          worker.m_worker->next_event()});
+        if (worker.m_waiting_poll)
+            first = std::min(first, worker.m_poll_until);
+    }
+    return first;
+}
+
+auto placement_world::tick_all() -> void
+{
+    for (auto const& [name, entry] : m_entries)
+    {
+        if (!entry.m_broker || entry.m_broker->next_deadline() > m_now)
+            continue;
+        entry_feed(entry.m_node,
+                   [&](core::broker& broker, core::effects& out)
+                   {
+                       broker.tick(m_now, m_random, out);
+                   });
+        BOOST_REQUIRE_MESSAGE(entry.m_broker->next_deadline() > m_now,
+                              "a broker asks for a time that has passed");
+    }
+    for (auto& [name, worker] : m_workers)
+    {
+        worker.m_worker->advance(m_now);
+        if (worker.m_waiting_poll &&
+            (worker.m_worker->has_ends() || worker.m_poll_until <= m_now))
+            answer_poll(worker);
+        if (worker.m_executor->next_deadline() > m_now)
+            continue;
+        agent_feed(worker,
+                   [&](core::executor& executor, core::effects& out)
+                   {
+                       executor.tick(m_now, out);
+                   });
+        BOOST_REQUIRE_MESSAGE(worker.m_executor->next_deadline() > m_now,
+                              "an executor asks for a time that has passed");
+    }
+}
+
+auto placement_world::connect(std::string const& entry,
+                              std::string const& worker) -> void
+{
+    auto const entry_node = m_entries.at(entry).m_node;
+    auto& state = m_workers.at(worker);
+    auto& link = m_links[{entry_node, state.m_node}];
+    if (link.m_is_cut || link.m_is_up || !m_entries.at(entry).m_broker)
+        return;
+    link.m_is_up = true;
+    ++link.m_epoch;
+    auto to_agent = core::hello{};
+    to_agent.m_node = entry_node;
+    to_agent.m_role = core::role::entry;
+    auto to_entry = core::hello{};
+    to_entry.m_node = state.m_node;
+    to_entry.m_role = core::role::agent;
+    m_entries.at(entry).m_broker->connected(m_now, to_entry);
+    agent_feed(state,
+               [&](core::executor& executor, core::effects& out)
+               {
+                   executor.connected(m_now, to_agent, out);
+               });
+}
+
+auto placement_world::disconnect(std::string const& entry,
+                                 std::string const& worker) -> void
+{
+    auto const entry_node = m_entries.at(entry).m_node;
+    auto& state = m_workers.at(worker);
+    auto& link = m_links[{entry_node, state.m_node}];
+    if (!link.m_is_up)
+        return;
+    link.m_is_up = false;
+    ++link.m_epoch;
+    if (m_entries.at(entry).m_broker)
+        m_entries.at(entry).m_broker->disconnected(m_now, state.m_node);
+    state.m_executor->disconnected(entry_node);
+}
+
+auto placement_world::cut(std::string const& entry, std::string const& worker,
+                          bool is_cut) -> void
+{
+    auto const key =
+        link_key{m_entries.at(entry).m_node, m_workers.at(worker).m_node};
+    m_links[key].m_is_cut = is_cut;
+    if (is_cut)
+        after(silence_limit,
+              [=, this]
+              {
+                  if (m_links[key].m_is_cut)
+                      disconnect(entry, worker);
+              });
+    else
+        after(reconnect_delay,
+              [=, this]
+              {
+                  disconnect(entry, worker);
+                  connect(entry, worker);
+              });
+}
+
+auto placement_world::kill_entry(std::string const& name) -> void
+{
+    for (auto const& [worker, state] : m_workers)
+        disconnect(name, worker);
+    m_entries.at(name).m_broker.reset();
+}
+
+auto placement_world::set_fault(std::string const& worker, order_fault fault)
+    -> void
+{
+    m_workers.at(worker).m_fault = fault;
+}
+
+auto placement_world::restart_worker(std::string const& name) -> void
+{
+    auto& state = m_workers.at(name);
+    state.m_past_overloads += state.m_worker->overloads();
+    state.m_past_starts += state.m_worker->starts();
+    state.m_worker =
+        std::make_unique<worker_model::leased_worker>(state.m_settings);
+    state.m_waiting_poll.reset();
+    ++state.m_report.m_incarnation;
+    state.m_report.m_sequence = 0;
+    state.m_report.m_is_accepting = true;
+    report(state);
+}
+
+auto placement_world::drain_worker(std::string const& name) -> void
+{
+    auto& state = m_workers.at(name);
+    state.m_report.m_is_accepting = false;
+    report(state);
+}
+
+auto placement_world::restart_agent(std::string const& name) -> void
+{
+    for (auto const& [entry, state] : m_entries)
+        disconnect(entry, name);
+    auto& state = m_workers.at(name);
+    state.m_node = core::node_id{1'000 + ++m_last_node};
+    state.m_executor =
+        std::make_unique<core::executor>(core::executor_settings{});
+    state.m_waiting_poll.reset();
+    for (auto const& [entry, each] : m_entries)
+        connect(entry, name);
+    report(state);
+}
+
+auto placement_world::worker(std::string const& name)
+    -> worker_model::leased_worker&
+{
+    return *m_workers.at(name).m_worker;
+}
+
+auto placement_world::report(worker_state& worker) -> void
+{
+    ++worker.m_report.m_sequence;
+    worker.m_report.m_clock_ms = worker.m_worker->clock_ms(m_now);
+    agent_feed(worker,
+               [&](core::executor& executor, core::effects& out)
+               {
+                   executor.reported(m_now, worker.m_report, out);
+               });
+    auto const incarnation = worker.m_report.m_incarnation;
+    after(report_interval,
+          [&worker, incarnation, this]
+          {
+              if (worker.m_report.m_incarnation == incarnation &&
+                  worker.m_fault != order_fault::silent)
+                  report(worker);
+          });
+}
+
+auto placement_world::entry_feed(
+    core::node_id node,
+    std::function<void(core::broker&, core::effects&)> const& event) -> void
+{
+    for (auto const& [name, entry] : m_entries)
+    {
+        if (entry.m_node != node || !entry.m_broker)
+            continue;
+        auto out = core::effects{};
+        event(*entry.m_broker, out);
+        carry_out(node, out);
+    }
+}
+
+auto placement_world::agent_feed(
+    worker_state& worker,
+    std::function<void(core::executor&, core::effects&)> const& event) -> void
+{
+    auto out = core::effects{};
+    event(*worker.m_executor, out);
+    carry_out(worker.m_node, out);
+}
+
+auto placement_world::carry_out(core::node_id from, core::effects& out) -> void
+{
+    for (auto& wanted : out)
+    {
+        if (auto* sent = std::get_if<core::send>(&wanted))
+            deliver(from, sent->m_to, std::move(sent->m_message));
+        else if (auto const* line = std::get_if<core::log_line>(&wanted))
+            ++m_logged[line->m_event];
+        else if (auto const* done = std::get_if<core::answer_job>(&wanted))
+            m_answers[done->m_exchange] = {
+                done->m_verdict, done->m_state, m_now,
+                m_now - m_submitted.at(done->m_exchange).second};
+        else
+            for (auto& [name, worker] : m_workers)
+                if (worker.m_node == from)
+                    carry_out(worker, wanted);
+    }
+}
+
+auto placement_world::carry_out(worker_state& worker,
+                                core::effect const& wanted) -> void
+{
+    if (auto const* started = std::get_if<core::start_run>(&wanted))
+        start(worker, *started);
+    else if (auto const* stopped = std::get_if<core::stop_run>(&wanted))
+        stop(worker, *stopped);
+    else if (auto const* poll = std::get_if<core::poll_runs>(&wanted))
+    {
+        if (worker.m_fault == order_fault::silent)
+        {
+            auto const node = worker.m_node;
+            after(milliseconds{poll->m_wait_ms} + poll_grace,
+                  [&worker, node, number = poll->m_poll, this]
+                  {
+                      auto nothing = core::runs_polled{};
+                      nothing.m_poll = number;
+                      if (worker.m_node == node)
+                          agent_feed(
+                              worker,
+                              [&](core::executor& executor, core::effects& out)
+                              {
+                                  executor.answered(m_now, nothing, out);
+                              });
+                  });
+            return;
+        }
+        worker.m_waiting_poll = *poll;
+        worker.m_poll_until =
+            m_now + worker_delay + milliseconds{poll->m_wait_ms};
+        static_cast<void>(worker.m_worker->poll(
+            m_now, poll->m_acknowledged, poll->m_lease_until_ms,
+            poll->m_target.m_fencing_token));
+    }
+}
+
+auto placement_world::start(worker_state& worker, core::start_run const& order)
+    -> void
+{
+    auto const carry_out_order = [&worker, order, this]
+    {
+        auto wanted = worker_model::start_order{};
+        wanted.m_run = order.m_run;
+        wanted.m_needs = {6'000, 64, 0};
+        wanted.m_run_time = run_time_of(order);
+        wanted.m_lease_until_ms = order.m_lease_until_ms;
+        wanted.m_fencing_token = order.m_target.m_fencing_token;
+        auto const result = worker.m_worker->start(m_now, wanted);
+        if (result == core::worker_answer::accepted)
+            for (auto const& [name, other] : m_workers)
+                if (&other != &worker &&
+                    other.m_worker->is_running(order.m_run.m_job_id,
+                                               order.m_run.m_task))
+                    ++m_double_runs;
+        return result;
+    };
+    auto const node = worker.m_node;
+    auto const reply = [&worker, node, order, this](core::worker_answer result)
+    {
+        if (worker.m_node != node)
+            return;
+        auto answer = core::run_start_answered{};
+        answer.m_run = order.m_run;
+        answer.m_answer = result;
+        if (result != core::worker_answer::unknown)
+            answer.m_clock_ms = worker.m_worker->clock_ms(m_now);
+        agent_feed(worker,
+                   [&](core::executor& executor, core::effects& out)
+                   {
+                       executor.answered(m_now, answer, out);
+                   });
+    };
+    auto const fault = worker.m_fault;
+    if (fault == order_fault::none)
+        after(worker_delay,
+              [=]
+              {
+                  reply(carry_out_order());
+              });
+    else
+    {
+        after(order_timeout,
+              [=]
+              {
+                  reply(core::worker_answer::unknown);
+              });
+        if (fault == order_fault::late)
+            after(late_delay,
+                  [=]
+                  {
+                      carry_out_order();
+                  });
+        if (fault == order_fault::lost_answer)
+            after(worker_delay,
+                  [=]
+                  {
+                      carry_out_order();
+                  });
+    }
+}
+
+auto placement_world::stop(worker_state& worker, core::stop_run const& order)
+    -> void
+{
+    auto const delay = worker.m_fault == order_fault::late
+                           ? core::duration{late_delay}
+                           : core::duration{worker_delay};
+    if (worker.m_fault == order_fault::silent)
+        return;
+    after(delay,
+          [&worker, order, this]
+          {
+              worker.m_worker->stop(m_now, order.m_run,
+                                    order.m_target.m_fencing_token);
+          });
+}
+
+auto placement_world::answer_poll(worker_state& worker) -> void
+{
+    auto const poll = *std::exchange(worker.m_waiting_poll, std::nullopt);
+    auto listed = worker.m_worker->poll(m_now, poll.m_acknowledged, 0,
+                                        poll.m_target.m_fencing_token);
+    listed.m_poll = poll.m_poll;
+    listed.m_incarnation = worker.m_report.m_incarnation;
+    auto const node = worker.m_node;
+    after(worker_delay,
+          [&worker, node, listed, this]
+          {
+              if (worker.m_node == node)
+                  agent_feed(worker,
+                             [&](core::executor& executor, core::effects& out)
+                             {
+                                 executor.answered(m_now, listed, out);
+                             });
+          });
+}
+
+auto placement_world::deliver(core::node_id from, core::node_id to,
+                              core::message message) -> void
+{
+    auto const is_from_entry = from < to;
+    auto const key = is_from_entry ? link_key{from, to} : link_key{to, from};
+    auto const& link = m_links[key];
+    if (!link.m_is_up || link.m_is_cut)
+        return;
+    auto const epoch = link.m_epoch;
+    after(
+        link_delay,
+        [=, this]
+        {
+            auto const& present = m_links[key];
+            if (present.m_epoch != epoch || present.m_is_cut)
+                return;
+            entry_feed(to,
+                       [&](core::broker& broker, core::effects& out)
+                       {
+                           broker.receive(m_now, from, message, m_random, out);
+                       });
+            for (auto& [name, worker] : m_workers)
+                if (worker.m_node == to)
+                    agent_feed(worker,
+                               [&](core::executor& executor, core::effects& out)
+                               {
+                                   executor.receive(m_now, from, message, out);
+                               });
+        });
+}
+
+auto placement_world::answer(core::exchange_id exchange) const
+    -> job_outcome const*
+{
+    auto const found = m_answers.find(exchange);
+    return found == m_answers.end() ? nullptr : &found->second;
+}
+
+auto placement_world::now() const -> core::time_point
+{
+    return m_now;
+}
+
+auto placement_world::entry(std::string const& name) -> core::broker&
+{
+    return *m_entries.at(name).m_broker;
+}
+
+auto placement_world::agent(std::string const& name) -> core::executor&
+{
+    return *m_workers.at(name).m_executor;
+}
+
+auto placement_world::double_runs() const -> unsigned
+{
+    return m_double_runs;
+}
+
+auto placement_world::overloads() const -> unsigned
+{
+    auto total = 0U;
+    for (auto const& [name, worker] : m_workers)
+        total += worker.m_past_overloads + worker.m_worker->overloads();
+    return total;
+}
+
+auto placement_world::starts() const -> unsigned
+{
+    auto total = 0U;
+    for (auto const& [name, worker] : m_workers)
+        total += worker.m_past_starts + worker.m_worker->starts();
+    return total;
+}
+
+auto placement_world::logged(std::string const& event) const -> unsigned
+{
+    auto const found = m_logged.find(event);
+    return found == m_logged.end() ? 0 : found->second;
+}
+
+} // namespace hickorylatch::test
--- /dev/null
+++ b/tests/core/placement/placement_world.hpp
@@ -0,0 +1,169 @@
+#ifndef HICKORYLATCH_TESTS_CORE_PLACEMENT_PLACEMENT_WORLD_HPP
+#define HICKORYLATCH_TESTS_CORE_PLACEMENT_PLACEMENT_WORLD_HPP
+
+#include "core/model/random_source.hpp"
+#include "core/placement/broker.hpp"
+#include "core/placement/executor.hpp"
+#include "worker_model/leased_worker.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorylatch::test
+{
+
+/// What a client was answered.
+struct job_outcome
+{
+    core::verdict m_verdict;
+    core::job_state m_state = core::job_state::failed;
+    core::time_point m_at{0};
+    /// From the job's arrival.
+    core::duration m_age{0};
+};
+
+/// How a worker's answers fail.
+enum class order_fault : std::uint8_t
+{
+    none,
+    silent,     ///< Orders are lost, and nothing answers.
+    late,       ///< Starts and stops get no answer and are carried out later.
+    lost_answer ///< Orders are carried out at once, without an answer.
+};
+
+/// Entries with brokers and workers with executors under virtual time. Links,
+/// clients and workers are fakes at the interfaces of the reducer.
+class placement_world
+{
+public:
+    explicit placement_world(std::uint64_t seed = 1);
+
+    auto add_entry(std::string const& name) -> void;
+    auto add_worker(std::string const& name,
+                    worker_model::leased_worker_settings settings = {},
+                    std::vector<std::string> labels = {}) -> void;
+    /// Puts a configuration with queues "fast", "normal" and "slow", of ranks 0
+    /// to 2, in force at all entries.
+    auto configure(std::uint64_t version = 1) -> void;
+
+    /// Posts a job of equal tasks. Returns its exchange.
+    auto submit(std::string const& entry, std::string const& queue,
+                core::step_job job, core::duration client_wait)
+        -> core::exchange_id;
+    auto abandon(core::exchange_id exchange) -> void;
+    auto run_for(core::duration span) -> void;
+    /// Runs until the job is answered; false if it is not within the span.
+    auto run_until_answered(core::exchange_id exchange, core::duration span)
+        -> bool;
+
+    // Faults.
+    auto cut(std::string const& entry, std::string const& worker, bool is_cut)
+        -> void;
+    auto kill_entry(std::string const& name) -> void;
+    auto set_fault(std::string const& worker, order_fault fault) -> void;
+    /// Crashes the worker; a new lifetime under the same name follows.
+    auto restart_worker(std::string const& name) -> void;
+    auto drain_worker(std::string const& name) -> void;
+    /// Replaces the agent process beside a worker that runs on.
+    auto restart_agent(std::string const& name) -> void;
+    auto worker(std::string const& name) -> worker_model::leased_worker&;
+
+    [[nodiscard]] auto answer(core::exchange_id exchange) const
+        -> job_outcome const*;
+    [[nodiscard]] auto now() const -> core::time_point;
+    [[nodiscard]] auto entry(std::string const& name) -> core::broker&;
+    [[nodiscard]] auto agent(std::string const& name) -> core::executor&;
+    /// Starts of a task while another run of it was in progress elsewhere.
+    [[nodiscard]] auto double_runs() const -> unsigned;
+    /// Starts that brought some worker over its capacity.
+    [[nodiscard]] auto overloads() const -> unsigned;
+    [[nodiscard]] auto starts() const -> unsigned;
+    /// Lines logged under a name.
+    [[nodiscard]] auto logged(std::string const& event) const -> unsigned;
+
+private:
+    struct entry_state
+    {
+        core::node_id m_node = core::no_node;
+        std::unique_ptr<core::broker> m_broker;
+    };
+
+    struct worker_state
+    {
+        core::node_id m_node = core::no_node;
+        std::unique_ptr<core::executor> m_executor;
+        std::unique_ptr<worker_model::leased_worker> m_worker;
+        worker_model::leased_worker_settings m_settings;
+        core::worker_report m_report;
+        order_fault m_fault = order_fault::none;
+        unsigned m_past_overloads = 0;
+        unsigned m_past_starts = 0;
+        std::optional<core::poll_runs> m_waiting_poll;
+        core::time_point m_poll_until{0};
+    };
+
+    struct link_state
+    {
+        bool m_is_cut = false;
+        bool m_is_up = false;
+        /// Counts connections; what was sent on an earlier one is lost.
+        unsigned m_epoch = 0;
+    };
+
+    using link_key = std::pair<core::node_id, core::node_id>;
+
+    auto at(core::time_point when, std::function<void()> action) -> void;
+    auto after(core::duration delay, std::function<void()> action) -> void;
+    auto connect(std::string const& entry, std::string const& worker) -> void;
+    auto disconnect(std::string const& entry, std::string const& worker)
+        -> void;
+    auto carry_out(core::node_id from, core::effects& out) -> void;
+    auto carry_out(worker_state& worker, core::effect const& wanted) -> void;
+    auto deliver(core::node_id from, core::node_id to, core::message message)
+        -> void;
+    auto start(worker_state& worker, core::start_run const& order) -> void;
+    auto stop(worker_state& worker, core::stop_run const& order) -> void;
+    auto answer_poll(worker_state& worker) -> void;
+    auto report(worker_state& worker) -> void;
+    auto tick_all() -> void;
+    [[nodiscard]] auto next_time() -> core::time_point;
+    auto
+    entry_feed(core::node_id node,
+               std::function<void(core::broker&, core::effects&)> const& event)
+        -> void;
+    auto agent_feed(
+        worker_state& worker,
+        std::function<void(core::executor&, core::effects&)> const& event)
+        -> void;
+
+    core::random_source m_random;
+    core::time_point m_now{std::chrono::seconds{10}};
+    std::multimap<core::time_point, std::function<void()>> m_events;
+    std::map<std::string, entry_state> m_entries;
+    std::map<std::string, worker_state> m_workers;
+    std::map<link_key, link_state> m_links;
+    std::uint64_t m_last_node = 0;
+    core::exchange_id m_last_exchange = 0;
+    std::map<core::exchange_id, std::pair<std::string, core::time_point>>
+        m_submitted;
+    std::map<core::exchange_id, job_outcome> m_answers;
+    std::map<std::string, unsigned> m_logged;
+    unsigned m_double_runs = 0;
+};
+
+/// A job of one step. Tasks declare `declared` and take `actual`.
+[[nodiscard]] auto make_job(std::string id, std::uint32_t tasks,
+                            core::duration declared, core::duration actual,
+                            std::uint32_t millicores = 6'000) -> core::step_job;
+
+} // namespace hickorylatch::test
+
+#endif
--- /dev/null
+++ b/tests/core/placement/test_placement.cpp
@@ -0,0 +1,347 @@
+#include "core/placement/placement_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace core = hickorylatch::core;
+
+using hickorylatch::test::make_job;
+using hickorylatch::test::order_fault;
+using hickorylatch::test::placement_world;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// Two entries and three workers, ready to take jobs.
+auto make_world() -> std::unique_ptr<placement_world>
+{
+    auto world = std::make_unique<placement_world>();
+    world->add_entry("e1");
+    world->add_entry("e2");
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->add_worker(name);
+    world->configure();
+    world->run_for(seconds{1});
+    return world;
+}
+
+auto is_completed(placement_world const& world, core::exchange_id exchange)
+    -> bool
+{
+    auto const* told = world.answer(exchange);
+    return told != nullptr && told->m_verdict.m_run == core::run_state::ran &&
+           told->m_state == core::job_state::completed;
+}
+
+/// Fails the test if a promise to workers was broken.
+auto check_promises(placement_world const& world) -> void
+{
+    BOOST_TEST(world.double_runs() == 0U);
+    BOOST_TEST(world.overloads() == 0U);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_job_is_answered_when_its_last_task_ends)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "fast", make_job("a", 8, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    BOOST_TEST(world->run_until_answered(job, seconds{2}));
+    BOOST_TEST(is_completed(*world, job));
+    // One hop each way, the worker's own delays and the run itself.
+    BOOST_TEST((world->answer(job)->m_age < milliseconds{66}));
+    BOOST_TEST(world->starts() == 8U);
+    check_promises(*world);
+}
+
+// Guards against a start that brings a worker without guards over its capacity
+// when several entries order at once.
+BOOST_AUTO_TEST_CASE(entries_that_compete_never_overload_a_worker)
+{
+    auto world = make_world();
+    auto jobs = std::vector<core::exchange_id>{};
+    for (auto round = 0; round < 40; ++round)
+    {
+        auto const entry = round % 2 == 0 ? "e1" : "e2";
+        jobs.push_back(
+            world->submit(entry, "normal",
+                          make_job("j" + std::to_string(round), 6,
+                                   milliseconds{100}, milliseconds{100}),
+                          seconds{10}));
+        world->run_for(milliseconds{3});
+    }
+    world->run_for(seconds{5});
+    for (auto const job : jobs)
+        BOOST_TEST(is_completed(*world, job));
+    check_promises(*world);
+}
+
+// Guards against urgent work that waits behind less urgent work in a queue.
+BOOST_AUTO_TEST_CASE(a_lower_rank_waits)
+{
+    auto world = make_world();
+    auto background = std::vector<core::exchange_id>{};
+    for (auto number = 0; number < 20; ++number)
+        background.push_back(
+            world->submit("e1", "slow",
+                          make_job("s" + std::to_string(number), 4,
+                                   milliseconds{200}, milliseconds{200}),
+                          seconds{20}));
+    world->run_for(milliseconds{50});
+    auto const urgent = world->submit(
+        "e2", "fast", make_job("u", 4, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    BOOST_TEST(world->run_until_answered(urgent, seconds{2}));
+    // It waits for the runs in progress only.
+    BOOST_TEST((world->answer(urgent)->m_age < milliseconds{300}));
+    world->run_for(seconds{10});
+    for (auto const job : background)
+        BOOST_TEST(is_completed(*world, job));
+    check_promises(*world);
+}
+
+// Guards against a job that fails because one worker fails all it starts.
+BOOST_AUTO_TEST_CASE(a_failed_task_runs_elsewhere)
+{
+    auto world = make_world();
+    world->worker("w1").set_fails(true);
+    for (auto number = 0; number < 10; ++number)
+    {
+        auto const job =
+            world->submit("e1", "fast",
+                          make_job("f" + std::to_string(number), 6,
+                                   milliseconds{60}, milliseconds{60}),
+                          seconds{3});
+        BOOST_TEST(world->run_until_answered(job, seconds{3}));
+        BOOST_TEST(is_completed(*world, job));
+    }
+    check_promises(*world);
+}
+
+// Guards against a task that is tried without end: after the queue's limit its
+// job has failed, and is said to have.
+BOOST_AUTO_TEST_CASE(a_task_that_always_fails_ends_its_job)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->worker(name).set_fails(true);
+    auto const job = world->submit(
+        "e1", "fast", make_job("p", 1, milliseconds{60}, milliseconds{60}),
+        seconds{5});
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
+    BOOST_TEST((world->answer(job)->m_verdict.m_run == core::run_state::ran));
+    BOOST_TEST((world->answer(job)->m_state == core::job_state::failed));
+    BOOST_TEST(world->starts() == 3U);
+}
+
+// Guards against a task that stands still and holds its job up until the client
+// gives up.
+BOOST_AUTO_TEST_CASE(a_run_without_progress_is_moved)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->worker(name).set_hangs(true);
+    auto const job = world->submit(
+        "e1", "fast", make_job("h", 2, milliseconds{60}, milliseconds{60}),
+        seconds{3});
+    world->run_for(milliseconds{100});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->worker(name).set_hangs(false);
+    BOOST_TEST(world->run_until_answered(job, seconds{3}));
+    BOOST_TEST(is_completed(*world, job));
+    BOOST_TEST((world->answer(job)->m_age < milliseconds{700}));
+    check_promises(*world);
+}
+
+// Guards against a second run of a task while the first one, on a worker that
+// can't be reached, still goes on under its lease.
+BOOST_AUTO_TEST_CASE(a_silent_worker_is_left_to_lapse)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "slow", make_job("l", 3, milliseconds{900}, milliseconds{900}),
+        seconds{8});
+    world->run_for(milliseconds{100});
+    for (auto const* name : {"w1", "w2"})
+        world->set_fault(name, order_fault::silent);
+    BOOST_TEST(world->run_until_answered(job, seconds{8}));
+    BOOST_TEST(is_completed(*world, job));
+    check_promises(*world);
+}
+
+// Guards against two runs at a time when an entry and an agent lose each other:
+// the agent stops the entry's runs before the entry orders them elsewhere.
+BOOST_AUTO_TEST_CASE(runs_of_a_lost_agent_end_before_others_start)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "slow",
+        make_job("c", 6, milliseconds{2'000}, milliseconds{2'000}),
+        seconds{20});
+    world->run_for(milliseconds{100});
+    world->cut("e1", "w1", true);
+    world->cut("e1", "w2", true);
+    BOOST_TEST(world->run_until_answered(job, seconds{20}));
+    BOOST_TEST(is_completed(*world, job));
+    check_promises(*world);
+}
+
+// Guards against results that are lost when a link breaks and comes back.
+BOOST_AUTO_TEST_CASE(ends_reach_the_entry_over_a_new_link)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "normal", make_job("r", 6, milliseconds{150}, milliseconds{150}),
+        seconds{5});
+    world->run_for(milliseconds{50});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e1", name, true);
+    world->run_for(milliseconds{150});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e1", name, false);
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
+    BOOST_TEST(is_completed(*world, job));
+    BOOST_TEST((world->answer(job)->m_age < milliseconds{300}));
+    BOOST_TEST(world->starts() == 6U);
+    check_promises(*world);
+}
+
+// Guards against a start without an answer that is carried out seconds later.
+BOOST_AUTO_TEST_CASE(a_start_that_comes_late_does_nothing)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2"})
+        world->set_fault(name, order_fault::late);
+    auto const job = world->submit(
+        "e1", "normal", make_job("o", 6, milliseconds{200}, milliseconds{200}),
+        seconds{8});
+    BOOST_TEST(world->run_until_answered(job, seconds{8}));
+    BOOST_TEST(is_completed(*world, job));
+    world->run_for(seconds{5});
+    BOOST_TEST(world->starts() == 6U);
+    check_promises(*world);
+}
+
+// Guards against a start whose answer is lost: the run is found by the next
+// poll, and its result counts.
+BOOST_AUTO_TEST_CASE(a_start_with_a_lost_answer_is_found)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->set_fault(name, order_fault::lost_answer);
+    auto const job = world->submit(
+        "e1", "normal", make_job("x", 3, milliseconds{400}, milliseconds{400}),
+        seconds{5});
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
+    BOOST_TEST(is_completed(*world, job));
+    BOOST_TEST(world->starts() == 3U);
+    check_promises(*world);
+}
+
+// Guards against runs of a crashed worker that are waited for.
+BOOST_AUTO_TEST_CASE(runs_of_a_restarted_worker_run_again)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "normal", make_job("b", 6, milliseconds{300}, milliseconds{300}),
+        seconds{5});
+    world->run_for(milliseconds{100});
+    world->restart_worker("w1");
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
+    BOOST_TEST(is_completed(*world, job));
+    BOOST_TEST((world->answer(job)->m_age < milliseconds{800}));
+    check_promises(*world);
+}
+
+// Guards against new work on a worker that leaves, and against cutting the runs
+// that it still has.
+BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_runs)
+{
+    auto world = make_world();
+    auto const before = world->submit(
+        "e1", "normal", make_job("d", 24, milliseconds{300}, milliseconds{300}),
+        seconds{5});
+    world->run_for(milliseconds{50});
+    world->drain_worker("w1");
+    auto const had = world->worker("w1").starts();
+    BOOST_TEST(had > 0U);
+    auto const later = world->submit(
+        "e2", "normal", make_job("n", 6, milliseconds{100}, milliseconds{100}),
+        seconds{5});
+    BOOST_TEST(world->run_until_answered(before, seconds{5}));
+    BOOST_TEST(world->run_until_answered(later, seconds{5}));
+    BOOST_TEST(is_completed(*world, before));
+    BOOST_TEST(is_completed(*world, later));
+    BOOST_TEST(world->worker("w1").starts() == had);
+    check_promises(*world);
+}
+
+// Guards against runs of an entry that is gone: nobody waits for them, and its
+// clients send their jobs to another entry.
+BOOST_AUTO_TEST_CASE(runs_of_a_lost_entry_are_stopped_in_time_for_a_resend)
+{
+    auto world = make_world();
+    world->submit("e1", "slow",
+                  make_job("k", 6, milliseconds{3'000}, milliseconds{3'000}),
+                  seconds{20});
+    world->run_for(milliseconds{100});
+    world->kill_entry("e1");
+    world->run_for(milliseconds{1'300});
+    auto const again = world->submit(
+        "e2", "slow", make_job("k", 6, milliseconds{300}, milliseconds{300}),
+        seconds{20});
+    BOOST_TEST(world->run_until_answered(again, seconds{20}));
+    BOOST_TEST(is_completed(*world, again));
+    check_promises(*world);
+}
+
+// Guards against runs that go on although their client has left.
+BOOST_AUTO_TEST_CASE(runs_of_an_abandoned_job_are_stopped)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "slow",
+        make_job("q", 6, milliseconds{3'000}, milliseconds{3'000}),
+        seconds{20});
+    world->run_for(milliseconds{100});
+    world->abandon(job);
+    world->run_for(milliseconds{200});
+    for (auto const* name : {"w1", "w2", "w3"})
+        BOOST_TEST(world->worker(name).running() == 0U);
+    BOOST_TEST(world->entry("e1").jobs() == 0U);
+}
+
+// Guards against an agent that takes up runs of its predecessor unknowingly:
+// they would hold room that it believes free.
+BOOST_AUTO_TEST_CASE(a_new_agent_stops_runs_that_it_does_not_know)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "slow",
+        make_job("m", 6, milliseconds{2'000}, milliseconds{2'000}),
+        seconds{20});
+    world->run_for(milliseconds{100});
+    world->restart_agent("w1");
+    world->run_for(milliseconds{200});
+    BOOST_TEST(world->worker("w1").running() == 0U);
+    BOOST_TEST(world->run_until_answered(job, seconds{20}));
+    BOOST_TEST(is_completed(*world, job));
+    check_promises(*world);
+}
+
+// Guards against a job that is held although nothing could run it.
+BOOST_AUTO_TEST_CASE(a_job_without_any_worker_is_refused_at_once)
+{
+    auto world = std::make_unique<placement_world>();
+    world->add_entry("e1");
+    world->configure();
+    auto const job = world->submit(
+        "e1", "fast", make_job("a", 1, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    BOOST_TEST(world->answer(job) != nullptr);
+    BOOST_TEST(
+        (world->answer(job)->m_verdict.m_run == core::run_state::not_run));
+}
--- /dev/null
+++ b/tests/platform/test_bodies.cpp
@@ -0,0 +1,230 @@
+#include "platform/configuration_body.hpp"
+#include "platform/job_body.hpp"
+#include "platform/parsed.hpp"
+#include "platform/worker_body.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace core = hickorylatch::core;
+namespace platform = hickorylatch::platform;
+
+namespace
+{
+
+auto job(std::string const& body) -> parsed<core::step_job>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::parse_job("5c0e7a21d94b36f8", body);
+        });
+}
+
+auto configuration(std::string const& body) -> parsed<core::configuration>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::parse_configuration(body);
+        });
+}
+
+auto report(std::string const& body) -> parsed<core::worker_report>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::parse_worker_report("i-1", body);
+        });
+}
+
+auto runs(std::string const& body) -> parsed<core::runs_polled>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::parse_runs(body);
+        });
+}
+
+auto const two_routes = std::string{
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"h","pathPrefix":"/a/","timeoutMs":1500,)"
+    R"("targetLatencyMs":60,"priority":2,"service":"s","retries":3,)"
+    R"("slackFactor":1.6},)"
+    R"({"name":"r2","host":"h","pathPrefix":"/a/b/","service":"s"}],)"
+    R"("services":[{"name":"s","enforcesCapacity":true}],"limits":{}})"};
+
+auto replaced(std::string text, std::string const& from, std::string const& to)
+    -> std::string
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_fields_are_translated)
+{
+    auto const read =
+        job(R"({"spec":"x","phases":[{"count":4,"cpu":500,"memMb":256,)"
+            R"("estimatedMs":900,"affinity":"r1-3"},{"cpu":2000,"gpu":1,)"
+            R"("dependsOn":[0],"constraints":"b","antiAffinity":2}],)"
+            R"("bestEffort":true})");
+    BOOST_REQUIRE_MESSAGE(read.m_value, read.m_error);
+    auto const& made = *read.m_value;
+    BOOST_TEST(!made.m_is_durable);
+    BOOST_TEST(made.m_unsupported.empty());
+    BOOST_TEST(made.m_body == "x");
+    BOOST_TEST(made.m_steps.size() == 2U);
+    BOOST_TEST(made.m_steps[0].m_count == 4U);
+    BOOST_TEST(made.m_steps[0].m_needs.m_millicores == 500U);
+    BOOST_TEST(made.m_steps[0].m_declared_ms == 900U);
+    BOOST_TEST(made.m_steps[0].m_data_rack == "r1-3");
+    BOOST_TEST(made.m_steps[1].m_count == 1U);
+    BOOST_TEST(made.m_steps[1].m_needs.m_accelerators == 1U);
+    BOOST_TEST(made.m_steps[1].m_depends_on.front() == 0U);
+    BOOST_TEST(made.m_steps[1].m_required_label == "b");
+    BOOST_TEST(made.m_steps[1].m_worker_limit == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_must_be_durable_unless_it_says_otherwise)
+{
+    BOOST_TEST(
+        job(R"({"spec":"x","phases":[{"cpu":1}]})").m_value->m_is_durable);
+}
+
+// Guards against running a job without a feature that it depends on.
+BOOST_AUTO_TEST_CASE(a_feature_that_is_missing_is_named)
+{
+    auto const gang = job(
+        R"({"spec":"x","phases":[{"cpu":1,"gang":true}],"bestEffort":true})");
+    BOOST_TEST(gang.m_value->m_unsupported == "gang");
+    auto const off = job(
+        R"({"spec":"x","phases":[{"cpu":1,"gang":false}],"repeatCount":0})");
+    BOOST_TEST(off.m_value->m_unsupported.empty());
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_jobs_are_errors)
+{
+    for (auto const* body :
+         {"", "[]", "{", R"({"spec":"x"})", R"({"spec":1,"phases":[{}]})",
+          R"({"spec":"x","phases":[{"count":-1}]})",
+          R"({"spec":"x","phases":[{"count":0}]})",
+          R"({"spec":"x","phases":[{"dependsOn":[0]}]})",
+          R"({"spec":"x","phases":[{"count":4000000000}]})",
+          R"({"spec":"x","phases":[7]})"})
+        BOOST_TEST(!job(body).m_value, body);
+}
+
+BOOST_AUTO_TEST_CASE(configuration_fields_are_translated)
+{
+    auto const read = configuration(two_routes);
+    BOOST_REQUIRE_MESSAGE(read.m_value, read.m_error);
+    auto const& config = *read.m_value;
+    BOOST_TEST(config.m_version == 7U);
+    BOOST_TEST(config.m_document == two_routes);
+    BOOST_TEST(core::find_service(config, "s")->m_has_guards);
+    auto const* queue = core::find_queue(config, "h", "/a/x");
+    BOOST_REQUIRE(queue != nullptr);
+    BOOST_TEST(queue->m_rank == 2U);
+    BOOST_TEST(queue->m_run_limit == 3U);
+    BOOST_TEST(queue->m_slack_factor == 1.6);
+    BOOST_TEST(core::find_queue(config, "h", "/a/b/x")->m_name == "r2");
+    BOOST_TEST(core::find_queue(config, "other", "/a/x") == nullptr);
+    BOOST_TEST(core::find_queue(config, "h", "/c") == nullptr);
+}
+
+// Guards against a configuration in force that can't be obeyed.
+BOOST_AUTO_TEST_CASE(invalid_configurations_are_errors)
+{
+    auto const bad = {
+        two_routes.substr(0, two_routes.size() - 1),
+        replaced(two_routes, R"("version":7)", R"("version":0)"),
+        replaced(two_routes, R"("version":7)", R"("version":"7")"),
+        replaced(two_routes, R"("service":"s","retries")",
+                 R"("service":"t","retries")"),
+        replaced(two_routes, R"("/a/b/")", R"("/a/")"),
+        replaced(two_routes, R"("timeoutMs":1500)", R"("timeoutMs":0)"),
+        replaced(two_routes, R"("routes")", R"("roads")"),
+        replaced(two_routes, R"("priority":2)", R"("priority":"high")"),
+        replaced(two_routes, R"("limits":{})", R"("limits":7)")};
+    for (auto const& body : bad)
+        BOOST_TEST(!configuration(body).m_value, body);
+}
+
+BOOST_AUTO_TEST_CASE(worker_reports_are_translated)
+{
+    auto const read = report(
+        R"({"service":"s","address":"10.128.0.9:8080","zone":"z","slots":8,)"
+        R"("state":"draining","capacity":{"cpu":16000,"memMb":32768,"gpu":2},)"
+        R"("labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":17})");
+    BOOST_REQUIRE_MESSAGE(read.m_value, read.m_error);
+    BOOST_TEST(!read.m_value->m_is_accepting);
+    BOOST_TEST(read.m_value->m_capacity.m_millicores == 16'000U);
+    BOOST_TEST(read.m_value->m_labels.back() == "r1-3");
+    BOOST_TEST(read.m_value->m_incarnation == 17);
+}
+
+// Guards against reports of other writers that would change what is believed of
+// a worker.
+BOOST_AUTO_TEST_CASE(reports_that_name_no_usable_worker_are_errors)
+{
+    for (auto const* body :
+         {"", "\xff\xfe", "[]", R"({"service":"s","state":"ready"})",
+          R"({"service":"s","state":"busy","capacity":{},"sequence":1})",
+          R"({"service":7,"state":"ready","capacity":{},"sequence":1})",
+          R"({"service":"s","state":"ready","capacity":{"cpu":"x"},)"
+          R"("sequence":1})",
+          R"({"service":"s","state":"ready","capacity":{},"sequence":0})"})
+        BOOST_TEST(!report(body).m_value, body);
+}
+
+BOOST_AUTO_TEST_CASE(runs_and_ends_are_translated)
+{
+    auto const read =
+        runs(R"({"clockMs":482113,"born":5,"running":[)"
+             R"(["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,3]],)"
+             R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+             R"([59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed",""]]})");
+    BOOST_REQUIRE_MESSAGE(read.m_value, read.m_error);
+    BOOST_TEST(read.m_value->m_incarnation == 5);
+    auto const& running = read.m_value->m_running.front();
+    BOOST_TEST(running.m_job_id == "5c0e7a21d94b36f8");
+    BOOST_TEST(running.m_task.m_step == 1U);
+    BOOST_TEST(running.m_task.m_task == 17U);
+    BOOST_TEST(running.m_run == 2U);
+    auto const& ends = read.m_value->m_ended;
+    BOOST_TEST(ends.size() == 2U);
+    BOOST_TEST(ends[0].m_number == 58U);
+    BOOST_TEST((ends[0].m_outcome == core::run_outcome::succeeded));
+    BOOST_TEST((ends[1].m_outcome == core::run_outcome::lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(lists_that_cannot_be_read_are_errors)
+{
+    for (auto const* body :
+         {R"({"running":[["x",1]]})", R"({"running":[["a.0.1.2"]]})",
+          R"({"running":[["a.0.1.2.3",1]]})", R"({"running":7})",
+          R"({"ended":[["a.0.1.2",1,"done"]]})",
+          R"({"ended":[[1,"a.0.1.-2",1,"done",""]]})"})
+        BOOST_TEST(!runs(body).m_value, body);
+}
+
+BOOST_AUTO_TEST_CASE(orders_are_printed_in_the_platforms_words)
+{
+    auto start = core::start_run{};
+    start.m_target = {"i-1", 7};
+    start.m_run = {"5c0e7a21d94b36f8", {1, 17}, 2};
+    start.m_body = "x\"y";
+    start.m_lease_until_ms = 486'000;
+    BOOST_TEST(platform::print_start(start) ==
+               R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"x\"y",)"
+               R"("deadlineMs":486000,"fencingToken":7})");
+    auto poll = core::poll_runs{};
+    poll.m_target = {"i-1", 7};
+    poll.m_acknowledged = 57;
+    BOOST_TEST(platform::print_poll(poll) ==
+               R"({"fencingToken":7,"ackCursor":57})");
+}
--- /dev/null
+++ b/tests/platform/test_settings.cpp
@@ -0,0 +1,90 @@
+#include "platform/parsed.hpp"
+#include "platform/settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace platform = hickorylatch::platform;
+
+namespace
+{
+
+auto const example = std::string{R"(
+nodeName = "edge-klang-1"
+role = "entry"
+serves = ["edge","control"]
+ip = "10.1.0.13"
+zone = "klang"
+portRange = [7720,7735]
+seeds = ["10.1.0.13:8166","10.2.0.30:8166"]
+bootstrap = true
+dataDir = "/data/entry"
+app = "10.1.0.13:8165"
+unknownField = 7
+[listenAddrs]
+frontend = "10.1.0.13:8161"
+readiness = "10.1.0.13:8167"
+controlPlane = "10.1.0.13:8166"
+[faultTolerance]
+machines = 2
+[bounds]
+maxHoldMs = 1000
+spreadFactor = 1.5
+)"};
+
+auto read(std::string const& text) -> parsed<platform::host_settings>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::parse_host_settings(text);
+        });
+}
+
+auto convert(platform::host_settings const& host, platform::duty wanted)
+    -> parsed<hickorylatch::settings::settings>
+{
+    return try_parse(
+        [&]
+        {
+            return platform::to_process_settings(host, wanted);
+        });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(platform_settings_are_translated)
+{
+    auto const host = read(example);
+    BOOST_REQUIRE_MESSAGE(host.m_value, host.m_error);
+    BOOST_TEST(host.m_value->m_failure_domain == "klang");
+    BOOST_TEST(host.m_value->m_spread_factor == 1.5);
+    auto const entry = convert(*host.m_value, platform::duty::entry);
+    BOOST_REQUIRE_MESSAGE(entry.m_value, entry.m_error);
+    BOOST_TEST(entry.m_value->m_broker->m_listen_address == "10.1.0.13:7721");
+    BOOST_TEST(entry.m_value->m_control_addresses.back() == "10.2.0.30:7720");
+    auto const control = convert(*host.m_value, platform::duty::control);
+    BOOST_REQUIRE_MESSAGE(control.m_value, control.m_error);
+    BOOST_TEST(control.m_value->m_control->m_listen_address ==
+               "10.1.0.13:7720");
+    // Two lost machines must leave a majority.
+    BOOST_TEST(control.m_value->m_control->m_group.m_voters == 5U);
+    BOOST_TEST(control.m_value->m_control->m_group.m_is_first_start);
+    auto const agent = convert(*host.m_value, platform::duty::agent);
+    BOOST_TEST(agent.m_value->m_executor->m_lease_ms == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(settings_that_lack_something_are_errors)
+{
+    BOOST_TEST(!read("").m_value);
+    BOOST_TEST(!read("nodeName = ").m_value);
+    BOOST_TEST(!read("nodeName = \"a\"\nip = \"10.0.0.1\"\n").m_value);
+    auto host = *read(example).m_value;
+    host.m_data_folder.clear();
+    BOOST_TEST(!convert(host, platform::duty::control).m_value);
+    host.m_worker_address.clear();
+    BOOST_TEST(!convert(host, platform::duty::agent).m_value);
+    host.m_clients_address.clear();
+    BOOST_TEST(!convert(host, platform::duty::entry).m_value);
+}
--- /dev/null
+++ b/tests/worker_model/test_leased_worker.cpp
@@ -0,0 +1,93 @@
+#include "worker_model/leased_worker.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace core = hickorylatch::core;
+namespace worker_model = hickorylatch::worker_model;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+auto order(std::string const& job, std::uint32_t run, int lease_ms)
+    -> worker_model::start_order
+{
+    auto made = worker_model::start_order{};
+    made.m_run = {job, {0, 0}, run};
+    made.m_needs = {6'000, 64, 0};
+    made.m_run_time = milliseconds{100};
+    made.m_lease_until_ms = lease_ms;
+    made.m_fencing_token = 7;
+    return made;
+}
+
+} // namespace
+
+// Guards against a stand-in that is kinder than real workers: without a longer
+// lease everything ends.
+BOOST_AUTO_TEST_CASE(runs_end_with_their_lease)
+{
+    auto worker = worker_model::leased_worker{{}};
+    auto const now = milliseconds{0};
+    auto const until = static_cast<int>(worker.clock_ms(now)) + 50;
+    BOOST_TEST((worker.start(now, order("a", 1, until)) ==
+                core::worker_answer::accepted));
+    auto const listed = worker.poll(milliseconds{60}, 0, 0, 7);
+    BOOST_TEST(listed.m_running.empty());
+    BOOST_TEST(listed.m_ended.size() == 1U);
+    BOOST_TEST((listed.m_ended.front().m_outcome == core::run_outcome::lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(a_poll_extends_the_lease)
+{
+    auto worker = worker_model::leased_worker{{}};
+    auto const until = static_cast<int>(worker.clock_ms({})) + 50;
+    static_cast<void>(worker.start({}, order("a", 1, until)));
+    static_cast<void>(worker.poll(milliseconds{40}, 0, until + 500, 7));
+    auto const listed = worker.poll(milliseconds{120}, 0, 0, 7);
+    BOOST_TEST(listed.m_ended.size() == 1U);
+    BOOST_TEST(
+        (listed.m_ended.front().m_outcome == core::run_outcome::succeeded));
+    BOOST_TEST(worker.poll(milliseconds{121}, 1, 0, 7).m_ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(orders_that_come_late_or_fenced_start_nothing)
+{
+    auto worker = worker_model::leased_worker{{}};
+    auto const until = static_cast<int>(worker.clock_ms({})) + 50;
+    BOOST_TEST((worker.start(milliseconds{60}, order("a", 1, until)) ==
+                core::worker_answer::late));
+    auto old = order("a", 1, until + 500);
+    old.m_fencing_token = 6;
+    BOOST_TEST(
+        (worker.start(milliseconds{61}, old) == core::worker_answer::fenced));
+    BOOST_TEST(worker.starts() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_not_higher_than_an_ended_one_is_refused)
+{
+    auto worker = worker_model::leased_worker{{}};
+    static_cast<void>(worker.stop({}, {"a", {0, 0}, 2}, 7));
+    auto const until = static_cast<int>(worker.clock_ms({})) + 500;
+    BOOST_TEST((worker.start({}, order("a", 2, until)) ==
+                core::worker_answer::outdated));
+    BOOST_TEST((worker.start({}, order("a", 3, until)) ==
+                core::worker_answer::accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_over_the_capacity_is_counted)
+{
+    auto settings = worker_model::leased_worker_settings{};
+    settings.m_capacity = {10'000, 1'000, 0};
+    auto worker = worker_model::leased_worker{settings};
+    auto const until = static_cast<int>(worker.clock_ms({})) + 500;
+    static_cast<void>(worker.start({}, order("a", 1, until)));
+    static_cast<void>(worker.start({}, order("b", 1, until)));
+    BOOST_TEST(worker.overloads() == 1U);
+    settings.m_has_guards = true;
+    auto guarded = worker_model::leased_worker{settings};
+    static_cast<void>(guarded.start({}, order("a", 1, until)));
+    BOOST_TEST((guarded.start({}, order("b", 1, until)) ==
+                core::worker_answer::no_room));
+}
