Count only failed runs against a queue's limit and answer during the exit

(1) A run that made no progress was stopped and reported as failed; after as many as the queue's limit the job was said to have failed, though no run had. Such runs now come back as stopped, and the task avoids the worker while there is another one. (2) A process that had nothing left to do waited up to 5 s for bytes to VMs that were gone, and left requests on open connections unanswered meanwhile. It now waits 1 s for links and refuses such requests.

Ruled out for (2): the 2.5 s in which a leaving entry still takes jobs.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -209,14 +209,14 @@
                   {"reason", std::string{to_string(end.m_reason)}},
                   {"ran_ms", std::to_string(end.m_run_ms)}}});
     job->second.came_back(*task);
-    if (end.m_outcome == run_outcome::failed)
-    {
+    auto const has_failed = end.m_outcome == run_outcome::failed;
+    if (has_failed || end.m_reason == reason::call_failed)
         task->m_avoided.push_back(agent);
-        if (++task->m_failures >= job->second.queue().m_run_limit)
-        {
-            fail(now, job, reason::call_failed, out);
-            return;
-        }
+    // Runs that were stopped without progress do not count.
+    if (has_failed && ++task->m_failures >= job->second.queue().m_run_limit)
+    {
+        fail(now, job, reason::call_failed, out);
+        return;
     }
     carry_on(now, job, random, out);
 }
@@ -310,7 +310,12 @@
                                 ? duration{declared}
                                 : ratio->second.expected(declared);
         wanted.m_avoided = task.m_avoided;
-        auto const choice = m_workers.choose(now, wanted, random);
+        auto choice = m_workers.choose(now, wanted, random);
+        if (!choice && !std::exchange(task.m_avoided, {}).empty())
+        {
+            wanted.m_avoided = {};
+            choice = m_workers.choose(now, wanted, random);
+        }
         if (!choice)
         {
             is_whole = false;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -502,10 +502,8 @@
         return;
     auto report = run_end{};
     report.m_run = run.m_ref;
-    report.m_outcome = run.m_is_hung && outcome != run_outcome::succeeded
-                           ? run_outcome::failed
-                           : outcome;
-    report.m_reason = run.m_is_hung ? reason::deadline : why;
+    report.m_outcome = outcome;
+    report.m_reason = run.m_is_hung ? reason::call_failed : why;
     report.m_run_ms =
         static_cast<std::uint32_t>(to_milliseconds(now - run.m_started_at));
     contact->second.m_new_ends.push_back(report);
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -247,11 +247,12 @@
 auto reduce(node& target, time_point now, event const& incoming, effects& out)
     -> void
 {
-    if (target.m_has_exited)
-        return;
     auto const first = out.size();
     std::visit(event_router{target, now, out}, incoming);
     deliver_to_self(target, now, out, first);
+    // What still arrives on open connections is refused, not left unanswered.
+    if (target.m_has_exited)
+        return;
     if (target.m_is_stopping && is_idle(target, now))
     {
         target.m_has_exited = true;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -24,6 +24,7 @@
 // Unsent bytes are looked at this often while the process ends.
 constexpr auto flush_interval = std::chrono::milliseconds{10};
 constexpr auto flush_rounds_limit = 500U;
+constexpr auto link_flush_rounds_limit = 100U;
 
 // A VM without power answers nothing, and its next process should be found soon
 // after it starts. A hello takes a few round trips.
@@ -428,8 +429,11 @@
                                                  {
                                                      return !server->is_idle();
                                                  });
-    auto const is_busy = m_links->unsent() != 0 || has_answers;
-    if (is_busy && ++m_flush_rounds < flush_rounds_limit)
+    ++m_flush_rounds;
+    // Bytes for a VM that is gone are never taken.
+    auto const has_messages =
+        m_links->unsent() != 0 && m_flush_rounds < link_flush_rounds_limit;
+    if ((has_messages || has_answers) && m_flush_rounds < flush_rounds_limit)
         m_flush.start(flush_interval);
     else
         m_loop.stop();
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -156,6 +156,23 @@
     check_promises(*world);
 }
 
+// Guards against a job that is said to have failed because its runs were moved:
+// only runs that failed count.
+BOOST_AUTO_TEST_CASE(moved_runs_do_not_use_up_the_limit)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->worker(name).set_hangs(true);
+    auto const job = world->submit(
+        "e1", "fast", make_job("h", 1, milliseconds{60}, milliseconds{60}),
+        seconds{4});
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
+    BOOST_TEST(world->starts() > 3U);
+    BOOST_TEST(
+        (world->answer(job)->m_verdict.m_run == core::run_state::may_have_run));
+    check_promises(*world);
+}
+
 // Guards against a second run of a task while the first one, on a worker that
 // can't be reached, still goes on under its lease.
 BOOST_AUTO_TEST_CASE(a_silent_worker_is_left_to_lapse)
--- /dev/null
+++ b/tests/core/roles/test_broker_node.cpp
@@ -0,0 +1,55 @@
+#include "core/roles/node.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace core = hickorylatch::core;
+
+using std::chrono::seconds;
+
+namespace
+{
+
+auto answers(core::effects const& out) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(
+        out,
+        [](core::effect const& each)
+        {
+            return std::holds_alternative<core::answer_job>(each);
+        });
+}
+
+auto has_exit(core::effects const& out) -> bool
+{
+    return std::ranges::any_of(
+        out,
+        [](core::effect const& each)
+        {
+            return std::holds_alternative<core::exit_process>(each);
+        });
+}
+
+} // namespace
+
+// Guards against a request that arrives on an open connection while the process
+// ends, and is left without an answer.
+BOOST_AUTO_TEST_CASE(a_job_during_the_exit_is_refused)
+{
+    auto node = core::node{};
+    node.m_id = core::node_id{1};
+    node.m_broker.emplace(core::broker_settings{});
+    auto out = core::effects{};
+    core::reduce(node, seconds{1}, core::started{7}, out);
+    core::reduce(node, seconds{1}, core::stop_requested{}, out);
+    BOOST_TEST(!has_exit(out));
+    core::reduce(node, seconds{10}, core::timer_fired{}, out);
+    BOOST_TEST(has_exit(out));
+    out.clear();
+    auto request = core::job_arrived{};
+    request.m_exchange = 5;
+    core::reduce(node, seconds{11}, request, out);
+    BOOST_TEST(answers(out) == 1);
+    BOOST_TEST(!has_exit(out));
+}
