Recover faster from a power loss and leave without losing callers

(1) After all replicas lost power the group stood still for 1.1 s, because a restarted replica waits as long for a leader as a follower does: in a group whose leaders hold no leases it now campaigns after 60 to 200 ms, guarded by the probe. (2) A process that had stopped did not end: log4cplus joins its threads in a static destructor. The host command now ends without static destructors. (3) Callers with an open connection were refused once a leaving entry took no more jobs: their idle connections are now closed 2.2 s after the stop, when the balancer has noticed.

--- a/src/core/model/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -168,6 +168,12 @@
     std::uint32_t m_wait_ms = 0;
 };
 
+/// Closes callers' connections on which no request is in progress, so that
+/// they connect to another process.
+struct close_idle_callers
+{
+};
+
 /// Replaces the node's one timer.
 struct set_timer
 {
@@ -221,11 +227,11 @@
 {
 };
 
-using effect =
-    std::variant<send, append_log, save_snapshot, reply, reply_operator,
-                 start_call, cancel_call, set_timer, keep_links, log_line,
-                 record_span, observe_metric, exit_process, answer_job,
-                 answer_pending, start_run, stop_run, poll_runs>;
+using effect = std::variant<send, append_log, save_snapshot, reply,
+                            reply_operator, start_call, cancel_call, set_timer,
+                            keep_links, log_line, record_span, observe_metric,
+                            exit_process, answer_job, answer_pending, start_run,
+                            stop_run, poll_runs, close_idle_callers>;
 
 using effects = std::vector<effect>;
 
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -24,9 +24,11 @@
 constexpr auto retry_interval = duration{std::chrono::milliseconds{20}};
 // A job of a client that does not say how long it waits.
 constexpr auto default_wait = duration{std::chrono::seconds{30}};
-// Balancers ask once a second and act on the second miss; a job that they
-// still send here is served, or its client would wait to send it again.
-constexpr auto leave_time = duration{std::chrono::milliseconds{2500}};
+// Balancers ask once a second and act on the second miss. Until then a closed
+// connection might come back to this entry.
+constexpr auto notice_time = duration{std::chrono::milliseconds{2200}};
+// A job that still comes is served, or its client would have to send it again.
+constexpr auto leave_time = duration{std::chrono::milliseconds{2700}};
 // Room is there again after about one task of common length.
 constexpr auto busy_retry_ms = std::uint32_t{1000};
 constexpr auto draining_retry_ms = std::uint32_t{1};
@@ -475,6 +477,11 @@
         lose_runs(now, agent, random, out);
         m_agents.erase(agent);
     }
+    if (now >= m_close_at)
+    {
+        m_close_at = never;
+        out.emplace_back(close_idle_callers{});
+    }
     if (now < m_retry_at)
         return;
     m_retry_at = never;
@@ -485,8 +492,10 @@
 
 auto broker::stop(time_point now) -> void
 {
-    if (m_refuse_at == never)
-        m_refuse_at = now + leave_time;
+    if (m_refuse_at != never)
+        return;
+    m_close_at = now + notice_time;
+    m_refuse_at = now + leave_time;
 }
 
 auto broker::is_ready(time_point now) const -> bool
@@ -502,7 +511,9 @@
 
 auto broker::next_deadline() const -> time_point
 {
-    auto first = std::min(m_retry_at, m_refuse_at);
+    auto first = std::min(m_retry_at, m_close_at);
+    if (m_refuse_at != never && m_close_at == never && m_jobs.empty())
+        first = std::min(first, m_refuse_at);
     if (!m_deadlines.empty())
         first = std::min(first, m_deadlines.begin()->first);
     for (auto const& [agent, contact] : m_agents)
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -114,6 +114,8 @@
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
     std::map<std::string, run_time_ratio, std::less<>> m_ratios;
     std::uint64_t m_last_job = 0;
+    /// When callers are sent away; `never` unless a stop was asked for.
+    time_point m_close_at = never;
     /// When jobs are no longer taken; `never` unless a stop was asked for.
     time_point m_refuse_at = never;
 };
--- a/src/core/replication/election.cpp
+++ b/src/core/replication/election.cpp
@@ -13,13 +13,22 @@
     auto mixed = std::seed_seq{static_cast<std::uint32_t>(seed),
                                static_cast<std::uint32_t>(seed >> 32U)};
     m_random.seed(mixed);
+    if (m_first_maximum > duration{0})
+        return postpone(now);
     // A restarted replica does not know whom it heard last, so it gives no
     // vote before it would have heard a healthy leader.
     heard_leader(now);
 }
 
+auto election::hasten_first(duration minimum, duration maximum) -> void
+{
+    m_first_minimum = minimum;
+    m_first_maximum = maximum;
+}
+
 auto election::heard_leader(time_point now) -> void
 {
+    m_has_heard_leader = true;
     m_quiet_until = now + m_minimum;
     stop();
     postpone(now);
@@ -92,8 +101,10 @@
 
 auto election::draw() -> duration
 {
+    auto const is_first = !m_has_heard_leader && m_first_maximum > duration{0};
     return duration{std::uniform_int_distribution<duration::rep>{
-        m_minimum.count(), m_maximum.count()}(m_random)};
+        (is_first ? m_first_minimum : m_minimum).count(),
+        (is_first ? m_first_maximum : m_maximum).count()}(m_random)};
 }
 
 } // namespace hickorylatch::core
--- a/src/core/replication/election.hpp
+++ b/src/core/replication/election.hpp
@@ -26,6 +26,11 @@
     /// The timeout is drawn anew each time between the two limits.
     election(duration minimum, duration maximum);
 
+    /// Until a leader is heard, the timeout is drawn from these limits, and
+    /// votes are given at once. Only for groups whose leaders serve nothing by
+    /// a lease: a leader that this replica followed before its restart may
+    /// still count on it.
+    auto hasten_first(duration minimum, duration maximum) -> void;
     auto start(time_point now, std::uint64_t seed) -> void;
     /// A leader was heard: ends the round and restarts the timer.
     auto heard_leader(time_point now) -> void;
@@ -53,6 +58,9 @@
 
     duration m_minimum;
     duration m_maximum;
+    duration m_first_minimum{0};
+    duration m_first_maximum{0};
+    bool m_has_heard_leader = false;
     std::minstd_rand m_random;
     election_phase m_phase = election_phase::idle;
     time_point m_round{0};
--- a/src/core/replication/replica.cpp
+++ b/src/core/replication/replica.cpp
@@ -20,6 +20,8 @@
 
 auto replica::start(time_point now, std::uint64_t seed, effects& out) -> void
 {
+    m_election.hasten_first(m_settings.m_first_election_minimum,
+                            m_settings.m_first_election_maximum);
     m_election.start(now, seed);
     if (is_only_voter(members(), m_identity))
         m_election.expire(now);
--- a/src/core/replication/replica.hpp
+++ b/src/core/replication/replica.hpp
@@ -27,6 +27,10 @@
     duration m_heartbeat = std::chrono::milliseconds{150};
     duration m_election_minimum = std::chrono::milliseconds{1000};
     duration m_election_maximum = std::chrono::milliseconds{1500};
+    /// Limits of the election timeout from the start until a leader is heard;
+    /// 0 for the ones above. See `election::hasten_first`.
+    duration m_first_election_minimum{0};
+    duration m_first_election_maximum{0};
     /// A leader that has not heard from a quorum for this long stops leading.
     duration m_quorum_timeout = std::chrono::milliseconds{600};
     /// Bytes of snapshot data in one message.
--- a/src/hickorylatch/host_command.cpp
+++ b/src/hickorylatch/host_command.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/host.hpp"
 
+#include <cstdlib>
 #include <iostream>
 #include <string_view>
 
@@ -16,6 +17,16 @@
     "Runs one process on a machine of the users' platform until SIGTERM. The\n"
     "platform writes its settings and names the file in HICKORYLATCH_BOOT.\n";
 
+/// Runs a duty and ends the process. log4cplus joins its threads in a static
+/// destructor, which has been seen not to return on the platform; by then every
+/// answer and log line is written.
+[[noreturn]] auto run_and_exit(platform::duty wanted) -> void
+{
+    auto const code = platform::run_host(wanted);
+    std::cout.flush();
+    std::quick_exit(code);
+}
+
 } // namespace
 
 auto host_main(std::span<std::string const> arguments) -> int
@@ -29,11 +40,11 @@
         return 0;
     }
     if (wanted == "entry")
-        return platform::run_host(platform::duty::entry);
+        run_and_exit(platform::duty::entry);
     if (wanted == "control")
-        return platform::run_host(platform::duty::control);
+        run_and_exit(platform::duty::control);
     if (wanted == "agent")
-        return platform::run_host(platform::duty::agent);
+        run_and_exit(platform::duty::agent);
     std::cerr << usage;
     return 2;
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -221,6 +221,16 @@
     m_is_stopping = true;
 }
 
+auto http_server::close_idle() -> void
+{
+    auto idle = std::vector<evhttp_connection*>{};
+    for (auto const& [connection, state] : m_connections)
+        if (!state.m_is_sending && !m_exchanges.contains(state.m_exchange))
+            idle.push_back(connection);
+    for (auto* const connection : idle)
+        evhttp_connection_free(connection);
+}
+
 auto http_server::stop_accepting() -> void
 {
     drain();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -67,6 +67,8 @@
     /// Makes each answer from now on close its connection, so that clients
     /// connect anew, to another server.
     auto drain() -> void;
+    /// Closes the connections on which no request is in progress.
+    auto close_idle() -> void;
     /// Closes the listening sockets. Open exchanges stay; each answer from now
     /// on closes its connection.
     auto stop_accepting() -> void;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -39,6 +39,14 @@
 constexpr auto work_liveness = net::link_liveness{
     std::chrono::milliseconds{120}, std::chrono::milliseconds{360}};
 
+// After a power loss entries wait for the first leader to learn the
+// configuration. A probe of the others takes a few milliseconds; the span
+// spreads replicas that start together.
+constexpr auto first_election_minimum =
+    core::duration{std::chrono::milliseconds{60}};
+constexpr auto first_election_maximum =
+    core::duration{std::chrono::milliseconds{200}};
+
 auto random_number() -> std::uint64_t
 {
     auto device = std::random_device{};
@@ -178,10 +186,15 @@
     limits.m_key_limit = wanted.m_key_limit;
     limits.m_content_limit = m_settings.m_frame_limit_bytes / 2;
     limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
+    auto replication = core::replica_settings{};
+    if (!wanted.m_group.m_seeds.empty())
+    {
+        replication.m_first_election_minimum = first_election_minimum;
+        replication.m_first_election_maximum = first_election_maximum;
+    }
     m_node.m_id = opened.m_recovered.m_identity;
     m_node.m_address = wanted.m_listen_address;
-    m_node.m_control.emplace(limits, core::replica_settings{},
-                             std::move(opened.m_recovered),
+    m_node.m_control.emplace(limits, replication, std::move(opened.m_recovered),
                              core::image_codec{encode_image, decode_image},
                              wanted.m_listen_address, wanted.m_group);
     m_durable =
@@ -541,6 +554,13 @@
     m_poll_wanted.emit(wanted);
 }
 
+auto process::carry_out(core::close_idle_callers& wanted) -> void
+{
+    static_cast<void>(wanted);
+    for (auto const& server : m_servers)
+        server->close_idle();
+}
+
 auto process::next_exchange() -> core::exchange_id
 {
     return ++m_exchange;
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -119,6 +119,7 @@
     auto carry_out(core::start_run& wanted) -> void;
     auto carry_out(core::stop_run& wanted) -> void;
     auto carry_out(core::poll_runs& wanted) -> void;
+    auto carry_out(core::close_idle_callers& wanted) -> void;
 
     auto handle_caller(net::http_server& server,
                        net::http_request const& request) -> void;
--- a/tests/core/replication/test_replica.cpp
+++ b/tests/core/replication/test_replica.cpp
@@ -290,3 +290,19 @@
     BOOST_TEST(cluster->leader() == leader);
     BOOST_TEST(cluster->m_leaders.size() == 1U);
 }
+
+// Guards against a group that stands still for a second after all of its
+// replicas lost power, and against replicas that unseat a leader that is alive.
+BOOST_AUTO_TEST_CASE(the_first_election_is_hastened_until_a_leader_is_heard)
+{
+    auto timer = core::election{1000ms, 1500ms};
+    timer.hasten_first(60ms, 200ms);
+    timer.start(core::time_point{0}, 1);
+    BOOST_TEST((timer.deadline() <= 200ms));
+    BOOST_TEST(!timer.is_quiet(core::time_point{1ms}));
+    timer.begin(timer.deadline(), core::election_phase::probing);
+    BOOST_TEST((timer.deadline() <= 400ms));
+    timer.heard_leader(core::time_point{400ms});
+    BOOST_TEST((timer.deadline() >= 1400ms));
+    BOOST_TEST(timer.is_quiet(core::time_point{1300ms}));
+}
--- a/tests/core/roles/test_broker_node.cpp
+++ b/tests/core/roles/test_broker_node.cpp
@@ -31,6 +31,16 @@
         });
 }
 
+auto closes_idle(core::effects const& out) -> bool
+{
+    return std::ranges::any_of(
+        out,
+        [](core::effect const& each)
+        {
+            return std::holds_alternative<core::close_idle_callers>(each);
+        });
+}
+
 } // namespace
 
 // Guards against a request that arrives on an open connection while the process
@@ -44,6 +54,11 @@
     core::reduce(node, seconds{1}, core::started{7}, out);
     core::reduce(node, seconds{1}, core::stop_requested{}, out);
     BOOST_TEST(!has_exit(out));
+    // Callers that keep an open connection are sent elsewhere first.
+    core::reduce(node, std::chrono::milliseconds{3'300}, core::timer_fired{},
+                 out);
+    BOOST_TEST(closes_idle(out));
+    BOOST_TEST(!has_exit(out));
     core::reduce(node, seconds{10}, core::timer_fired{}, out);
     BOOST_TEST(has_exit(out));
     out.clear();
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -539,3 +539,41 @@
                              }));
     }
 }
+
+// Guards against clients that keep an idle connection to a process that ends,
+// and against cutting a request in progress.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed_and_busy_ones_kept)
+{
+    auto loop = net::event_loop{};
+    auto target = server{loop};
+    auto idle = raw_socket{target.m_port};
+    auto busy = raw_socket{target.m_port};
+    auto const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    idle.send(request);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return target.m_requests.size() == 1;
+                         }));
+    target.m_http.answer(target.m_requests.front().m_exchange, 200, {}, "x");
+    busy.send(request);
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return target.m_requests.size() == 2;
+                         }));
+    target.m_http.close_idle();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             idle.poll();
+                             return idle.is_closed();
+                         }));
+    target.m_http.answer(target.m_requests.back().m_exchange, 200, {}, "yes");
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             busy.poll();
+                             return busy.received().ends_with("yes");
+                         }));
+}
