Start nothing beside runs of an earlier agent process

Cause: after all processes were killed a new agent counted the whole worker as free while runs of its predecessor still ended there, and its first start came before the first poll. It now accepts runs only once the worker's runs were listed and none of them is unknown.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -59,14 +59,14 @@
     m_workers.set_spread_factor(m_settings.m_spread_factor);
 }
 
-auto broker::connected(time_point now, hello const& peer) -> void
+auto broker::connected(hello const& peer) -> void
 {
     if (peer.m_role != role::agent)
         return;
     m_workers.connected(peer.m_node);
     auto& contact = m_agents[peer.m_node];
     contact.m_is_connected = true;
-    contact.m_confirmed_at = std::max(contact.m_confirmed_at, now);
+    contact.m_is_confirmed = false;
     contact.m_gone_at = never;
 }
 
@@ -154,7 +154,8 @@
     if (found == m_agents.end())
         return;
     auto& contact = found->second;
-    if (now - contact.m_confirmed_at < confirm_interval)
+    if (std::exchange(contact.m_is_confirmed, true) &&
+        now - contact.m_confirmed_at < confirm_interval)
         return;
     contact.m_confirmed_at = now;
     out.emplace_back(
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -37,7 +37,7 @@
 public:
     explicit broker(broker_settings settings);
 
-    auto connected(time_point now, hello const& peer) -> void;
+    auto connected(hello const& peer) -> void;
     auto disconnected(time_point now, node_id peer) -> void;
     auto receive(time_point now, node_id from, message const& incoming,
                  random_source& random, effects& out) -> void;
@@ -66,6 +66,8 @@
         std::uint64_t m_ends = 0;
         /// Last time that runs there were confirmed to be wanted.
         time_point m_confirmed_at{0};
+        /// The agent starts nothing on a new link before it is confirmed.
+        bool m_is_confirmed = false;
         /// When all runs there have certainly ended; `never` while connected.
         time_point m_gone_at = never;
         std::set<std::uint64_t> m_jobs;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/executor.hpp"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -217,6 +218,8 @@
     m_acknowledged = 0;
     m_lease_until_ms = 0;
     m_is_reachable = true;
+    m_is_surveyed = false;
+    m_strays.clear();
     m_health = {};
     m_pace = {};
     m_probe = {};
@@ -384,13 +387,15 @@
 auto executor::check_listed(time_point now, runs_polled const& answer,
                             effects& out) -> void
 {
-    auto listed = std::map<live_key, std::uint32_t>{};
+    auto listed = std::set<live_key>{};
+    auto strays = std::vector<worker_run>{};
     for (auto const& each : answer.m_running)
     {
-        listed[{each.m_job_id, each.m_task}] = each.m_run;
-        auto const found = m_live.find({each.m_job_id, each.m_task});
+        auto const key = live_key{each.m_job_id, each.m_task};
+        auto const found = m_live.find(key);
+        listed.insert(key);
         if (found == m_live.end() || found->second.m_number != each.m_run)
-            stop_stray(each, out);
+            strays.push_back(each);
         else if (found->second.m_state == run_state::unsure)
             confirm_start(now, *found, out);
     }
@@ -404,15 +409,27 @@
             !listed.contains(current->first))
             finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
     }
+    m_is_load_due = m_is_load_due || !m_is_surveyed || !m_strays.empty();
+    m_is_surveyed = true;
+    stop_strays(now, std::move(strays), out);
 }
 
-auto executor::stop_stray(worker_run const& stray, effects& out) -> void
+auto executor::stop_strays(time_point now, std::vector<worker_run> strays,
+                           effects& out) -> void
 {
+    auto const is_new = m_strays != strays;
+    m_strays = std::move(strays);
+    if (m_strays.empty() || (!is_new && now - m_strays_stopped_at < stop_retry))
+        return;
+    m_strays_stopped_at = now;
     out.emplace_back(log_line{
         log_level::warning,
-        "stray_run_stopped",
-        {{"run", run_field(stray.m_job_id, stray.m_task, stray.m_run)}}});
-    out.emplace_back(stop_run{target(), stray});
+        "stray_runs_stopped",
+        {{"runs", std::to_string(m_strays.size())},
+         {"first", run_field(m_strays.front().m_job_id, m_strays.front().m_task,
+                             m_strays.front().m_run)}}});
+    for (auto const& stray : m_strays)
+        out.emplace_back(stop_run{target(), stray});
 }
 
 auto executor::dispatch(time_point now, effects& out) -> void
@@ -662,7 +679,7 @@
 auto executor::poll(time_point now, effects& out) -> void
 {
     auto const is_wanted = !m_live.empty() || m_has_unacknowledged ||
-                           (m_worker && !m_is_reachable);
+                           !m_strays.empty() || (m_worker && !m_is_reachable);
     if (!is_wanted || !m_worker || m_poll_sent_at != never)
         return;
     if (m_poll_at != never && now < m_poll_at)
@@ -760,7 +777,7 @@
 auto executor::accepts(time_point now) const -> acceptance
 {
     if (m_is_stopping || !m_worker || !m_worker->m_is_accepting ||
-        !m_is_reachable)
+        !m_is_reachable || !m_is_surveyed || !m_strays.empty())
         return acceptance::none;
     if (!m_health.is_on_probation())
         return acceptance::full;
@@ -804,7 +821,8 @@
 {
     auto first = never;
     if (m_worker && m_poll_sent_at == never &&
-        (!m_live.empty() || m_has_unacknowledged || !m_is_reachable))
+        (!m_live.empty() || m_has_unacknowledged || !m_strays.empty() ||
+         !m_is_reachable))
         first = std::min(first, m_poll_at);
     auto const has_contacts =
         std::ranges::any_of(m_contacts,
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -132,7 +132,8 @@
     auto take_end(time_point now, ended_run const& ended, effects& out) -> void;
     auto check_listed(time_point now, runs_polled const& answer, effects& out)
         -> void;
-    auto stop_stray(worker_run const& stray, effects& out) -> void;
+    auto stop_strays(time_point now, std::vector<worker_run> strays,
+                     effects& out) -> void;
     auto lose_worker(time_point now, effects& out) -> void;
     auto poll(time_point now, effects& out) -> void;
     auto check_runs(time_point now, effects& out) -> void;
@@ -157,6 +158,13 @@
     worker_clock m_clock;
     std::uint64_t m_token = 0;
     bool m_is_reachable = false;
+    /// The worker's runs were listed once in its lifetime, so that its room is
+    /// known.
+    bool m_is_surveyed = false;
+    /// Runs that an earlier process of this agent started. They hold room that
+    /// is not known, so nothing is started beside them.
+    std::vector<worker_run> m_strays;
+    time_point m_strays_stopped_at{0};
     agent_health m_health;
     worker_pace m_pace;
     resources m_probe;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -50,7 +50,7 @@
         if (m_node.m_agent)
             m_node.m_agent->connected(event.m_peer);
         if (m_node.m_broker)
-            m_node.m_broker->connected(m_now, event.m_peer);
+            m_node.m_broker->connected(event.m_peer);
         if (m_node.m_executor)
             m_node.m_executor->connected(m_now, event.m_peer, m_out);
         if (m_node.m_control)
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -240,7 +240,7 @@
     auto to_entry = core::hello{};
     to_entry.m_node = state.m_node;
     to_entry.m_role = core::role::agent;
-    m_entries.at(entry).m_broker->connected(m_now, to_entry);
+    m_entries.at(entry).m_broker->connected(to_entry);
     agent_feed(state,
                [&](core::executor& executor, core::effects& out)
                {
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -349,6 +349,40 @@
     check_promises(*world);
 }
 
+// Guards against starts that bring a worker over its capacity because a new
+// agent does not count the runs of its predecessor.
+BOOST_AUTO_TEST_CASE(runs_of_an_earlier_agent_hold_room_until_they_end)
+{
+    auto world = std::make_unique<placement_world>();
+    world->add_entry("e1");
+    world->add_worker("w1");
+    world->configure();
+    world->run_for(seconds{1});
+    world->submit("e1", "slow",
+                  make_job("a", 10, milliseconds{3'000}, milliseconds{3'000}),
+                  seconds{20});
+    world->run_for(milliseconds{100});
+    BOOST_TEST(world->worker("w1").running() == 10U);
+    world->restart_agent("w1");
+    world->run_for(milliseconds{3});
+    auto last = core::exchange_id{0};
+    for (auto round = 0; round < 20; ++round)
+    {
+        last = world->submit("e1", "fast",
+                             make_job("b" + std::to_string(round), 5,
+                                      milliseconds{60}, milliseconds{60}),
+                             seconds{3});
+        world->run_for(milliseconds{2});
+    }
+    world->run_for(milliseconds{200});
+    last = world->submit("e1", "fast",
+                         make_job("c", 5, milliseconds{60}, milliseconds{60}),
+                         seconds{3});
+    BOOST_TEST(world->run_until_answered(last, seconds{5}));
+    BOOST_TEST(is_completed(*world, last));
+    check_promises(*world);
+}
+
 // Guards against a job that is held although nothing could run it.
 BOOST_AUTO_TEST_CASE(a_job_without_any_worker_is_refused_at_once)
 {
