Weigh forecast waits eight times when a worker is chosen

Cause: forecasts are too short when everything is busy, because runs that were ordered elsewhere a moment ago and those of higher rank that are still to come are not in them, and a weight of 2 sent more tasks to fast workers' queues than these could start.

--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -14,7 +14,7 @@
 
 // Waits are forecasts from declared run times, and a task that waits for a fast
 // worker while another one idles delays those behind it.
-constexpr auto wait_weight = 2;
+constexpr auto wait_weight = 8;
 
 auto has_label(worker_report const& worker, std::string_view label) -> bool
 {
