--- a/src/core/model/command.hpp
+++ b/src/core/model/command.hpp
@@ -6,6 +6,7 @@
 #include "core/model/submission.hpp"
 #include "core/model/verdict.hpp"
 
+#include <cstddef>
 #include <string>
 #include <variant>
 #include <vector>
@@ -111,6 +112,9 @@
                              end_submission, change_configuration, expire_keys,
                              change_membership, install_configuration>;
 
+/// Bytes of what callers and operators put into a command. The rest is small.
+[[nodiscard]] auto content_size(command const& content) -> std::size_t;
+
 /// One entry of the replicated log.
 struct log_entry
 {
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -490,8 +490,11 @@
     time_point m_sent_at{0};
     /// Last number of `runs_ended` that arrived.
     std::uint64_t m_ends = 0;
+    /// Configuration that the entry serves by; 0 for none. An agent that holds
+    /// a newer one sends it.
+    configuration_version m_version = 0;
 };
-BOOST_DESCRIBE_STRUCT(contact_confirmed, (), (m_sent_at, m_ends))
+BOOST_DESCRIBE_STRUCT(contact_confirmed, (), (m_sent_at, m_ends, m_version))
 
 struct run_order
 {
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -31,6 +31,10 @@
 constexpr auto notice_time = duration{std::chrono::milliseconds{2200}};
 // A job that still comes is served, or its client would have to send it again.
 constexpr auto leave_time = duration{std::chrono::milliseconds{2700}};
+// After a power loss links, a leader and the configuration are there within
+// this time. Clients that are refused meanwhile would not come back.
+constexpr auto start_time = duration{std::chrono::milliseconds{700}};
+constexpr auto most_early = std::size_t{500};
 // Room is there again after about one task of common length.
 constexpr auto busy_retry_ms = std::uint32_t{1000};
 constexpr auto draining_retry_ms = std::uint32_t{1};
@@ -99,6 +103,7 @@
         on(*change, out);
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
+    take_early(now, random, out);
 }
 
 auto broker::on(configuration_changed const& change, effects& out) -> void
@@ -161,7 +166,8 @@
         return;
     contact.m_confirmed_at = now;
     out.emplace_back(
-        send{from, contact_confirmed{load.m_sent_at, contact.m_ends}});
+        send{from, contact_confirmed{load.m_sent_at, contact.m_ends,
+                                     m_configuration.m_version}});
 }
 
 auto broker::on(time_point now, node_id from, runs_ended const& news,
@@ -263,32 +269,73 @@
     return job_verdict(run_state::ran, reason::none);
 }
 
+auto broker::start(time_point now) -> void
+{
+    m_started_at = now;
+}
+
+auto broker::is_starting(time_point now) const -> bool
+{
+    return m_started_at != never && now < m_started_at + start_time &&
+           (m_configuration.m_version == 0 || !m_workers.has_any_usable(now));
+}
+
+auto broker::refuse(job_arrived const& request, verdict const& why,
+                    effects& out) -> void
+{
+    out.emplace_back(
+        log_line{log_level::info,
+                 "job_refused",
+                 {{"job", request.m_job.m_id},
+                  {"reason", std::string{to_string(why.m_reason)}},
+                  {"detail", why.m_detail},
+                  {"version", std::to_string(m_configuration.m_version)}}});
+    out.emplace_back(answer_job{request.m_exchange, why, job_state::failed});
+}
+
 auto broker::arrived(time_point now, job_arrived const& request,
                      random_source& random, effects& out) -> void
 {
+    if (is_starting(now) && m_early.size() < most_early)
+    {
+        m_early.emplace_back(now, request);
+        return;
+    }
     auto const* queue =
         find_queue(m_configuration, request.m_host, request.m_path);
     auto const outcome = refusal(now, request, queue);
-    if (outcome.m_run != run_state::ran)
-    {
-        out.emplace_back(
-            log_line{log_level::info,
-                     "job_refused",
-                     {{"job", request.m_job.m_id},
-                      {"reason", std::string{to_string(outcome.m_reason)}},
-                      {"detail", outcome.m_detail},
-                      {"version", std::to_string(m_configuration.m_version)}}});
-        out.emplace_back(
-            answer_job{request.m_exchange, outcome, job_state::failed});
+    if (outcome.m_run == run_state::ran)
+        take(now, request, *queue, random, out);
+    else
+        refuse(request, outcome, out);
+}
+
+auto broker::take_early(time_point now, random_source& random, effects& out)
+    -> void
+{
+    if (m_early.empty() || is_starting(now))
         return;
+    for (auto& [arrived_at, request] : std::exchange(m_early, {}))
+    {
+        auto const waited = to_ms(now - arrived_at);
+        if (request.m_client_wait_ms != 0)
+            request.m_client_wait_ms -=
+                std::min(waited, request.m_client_wait_ms - 1);
+        arrived(now, request, random, out);
     }
+}
+
+auto broker::take(time_point now, job_arrived const& request,
+                  job_queue const& queue, random_source& random, effects& out)
+    -> void
+{
     auto const wait =
         request.m_client_wait_ms != 0
             ? duration{std::chrono::milliseconds{request.m_client_wait_ms}}
             : default_wait;
     auto const number = ++m_last_job;
     auto const job = m_jobs
-                         .emplace(number, placed_job{number, request, *queue,
+                         .emplace(number, placed_job{number, request, queue,
                                                      now, now + wait})
                          .first;
     m_exchanges[request.m_exchange] = number;
@@ -447,6 +494,11 @@
 auto broker::abandoned(time_point now, exchange_id exchange, effects& out)
     -> void
 {
+    std::erase_if(m_early,
+                  [exchange](auto const& early)
+                  {
+                      return early.second.m_exchange == exchange;
+                  });
     auto const found = m_exchanges.find(exchange);
     if (found == m_exchanges.end())
         return;
@@ -546,6 +598,7 @@
         m_close_at = never;
         out.emplace_back(close_idle_callers{});
     }
+    take_early(now, random, out);
     if (now < m_retry_at)
         return;
     m_retry_at = never;
@@ -570,12 +623,14 @@
 
 auto broker::is_idle(time_point now) const -> bool
 {
-    return now >= m_refuse_at && m_jobs.empty();
+    return now >= m_refuse_at && m_jobs.empty() && m_early.empty();
 }
 
 auto broker::next_deadline() const -> time_point
 {
     auto first = std::min(m_retry_at, m_close_at);
+    if (!m_early.empty())
+        first = std::min(first, m_started_at + start_time);
     if (m_refuse_at != never && m_close_at == never && m_jobs.empty())
         first = std::min(first, m_refuse_at);
     if (!m_deadlines.empty())
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -37,6 +37,7 @@
 public:
     explicit broker(broker_settings settings);
 
+    auto start(time_point now) -> void;
     auto connected(hello const& peer) -> void;
     auto disconnected(time_point now, node_id peer) -> void;
     auto receive(time_point now, node_id from, message const& incoming,
@@ -86,6 +87,17 @@
                   random_source& random, effects& out) -> void;
     [[nodiscard]] auto refusal(time_point now, job_arrived const& request,
                                job_queue const* queue) const -> verdict;
+    /// True while this process may still learn what it needs to serve.
+    [[nodiscard]] auto is_starting(time_point now) const -> bool;
+    auto refuse(job_arrived const& request, verdict const& why, effects& out)
+        -> void;
+    /// Takes a job, or refuses it because it would be late.
+    auto take(time_point now, job_arrived const& request,
+              job_queue const& queue, random_source& random, effects& out)
+        -> void;
+    /// Takes the jobs that came before this process could serve.
+    auto take_early(time_point now, random_source& random, effects& out)
+        -> void;
 
     /// Where the tasks of a job that may start now should go.
     struct plan
@@ -127,6 +139,10 @@
     live_jobs m_jobs;
     std::map<std::string, std::uint64_t, std::less<>> m_by_id;
     std::map<exchange_id, std::uint64_t> m_exchanges;
+    /// Jobs that came before this process knew a configuration and a worker,
+    /// and when each came.
+    std::vector<std::pair<time_point, job_arrived>> m_early;
+    time_point m_started_at = never;
     /// Jobs with tasks that found no worker.
     std::set<std::uint64_t> m_unplaced;
     time_point m_retry_at = never;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -63,6 +63,7 @@
     auto& entry = m_contacts[peer.m_node];
     entry.m_is_connected = true;
     entry.m_is_announced = false;
+    entry.m_told_version = 0;
     // Numbers of orders count per link.
     entry.m_order = 0;
     settle(now, out);
@@ -82,7 +83,13 @@
     else if (auto const* back = std::get_if<withdraw_runs>(&incoming))
         on(now, from, *back, out);
     else if (auto const* news = std::get_if<contact_confirmed>(&incoming))
-        on(now, from, *news);
+        on(now, from, *news, out);
+    else if (auto const* change = std::get_if<configuration_changed>(&incoming))
+    {
+        if (change->m_configuration.m_version >
+            m_configuration.m_configuration.m_version)
+            m_configuration = *change;
+    }
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
     else
@@ -148,8 +155,8 @@
     m_is_load_due = true;
 }
 
-auto executor::on(time_point now, node_id from, contact_confirmed const& news)
-    -> void
+auto executor::on(time_point now, node_id from, contact_confirmed const& news,
+                  effects& out) -> void
 {
     auto const found = m_contacts.find(from);
     if (found == m_contacts.end())
@@ -157,6 +164,12 @@
     auto& entry = found->second;
     entry.m_until = std::max(entry.m_until, news.m_sent_at + contact_timeout);
     entry.m_is_expired = entry.m_until <= now;
+    auto const version = m_configuration.m_configuration.m_version;
+    if (news.m_version < version && entry.m_told_version < version)
+    {
+        entry.m_told_version = version;
+        out.emplace_back(send{from, m_configuration});
+    }
     while (!entry.m_unconfirmed.empty() &&
            entry.m_unconfirmed.front().m_number <= news.m_ends)
         entry.m_unconfirmed.pop_front();
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -94,6 +94,8 @@
     {
         bool m_is_connected = false;
         bool m_is_announced = false;
+        /// Configuration that was sent on this link.
+        configuration_version m_told_version = 0;
         std::uint64_t m_order = 0;
         /// Runs of this entry may go on until then.
         time_point m_until{0};
@@ -111,8 +113,8 @@
     auto on(time_point now, node_id from, order_runs const& order) -> void;
     auto on(time_point now, node_id from, withdraw_runs const& order,
             effects& out) -> void;
-    auto on(time_point now, node_id from, contact_confirmed const& news)
-        -> void;
+    auto on(time_point now, node_id from, contact_confirmed const& news,
+            effects& out) -> void;
 
     auto begin_lifetime(time_point now, worker_report const& report,
                         effects& out) -> void;
@@ -154,6 +156,9 @@
 
     executor_settings m_settings;
     link_targets m_links;
+    /// Newest configuration heard of, for entries that start while no control
+    /// replica can tell them. Not used here.
+    configuration_changed m_configuration;
     std::optional<worker_report> m_worker;
     worker_clock m_clock;
     std::uint64_t m_token = 0;
--- a/src/core/replication/replication.cpp
+++ b/src/core/replication/replication.cpp
@@ -20,20 +20,6 @@
 // Keeps a message of several entries well below the frame limit.
 constexpr auto bytes_per_message = std::size_t{1} << 20U;
 
-auto body_size(command const& content) -> std::size_t
-{
-    auto total = std::size_t{0};
-    if (auto const* accepted = std::get_if<accept_submission>(&content))
-        for (auto const& each : accepted->m_submission.m_tasks)
-            total += each.m_body.size();
-    if (auto const* ended = std::get_if<end_submission>(&content))
-        for (auto const& each : ended->m_answers)
-            total += each.m_body.size();
-    if (auto const* installed = std::get_if<install_configuration>(&content))
-        total += installed->m_configuration.m_document.size();
-    return total;
-}
-
 auto take_entries(replica_log const& log, log_index from)
     -> std::vector<log_entry>
 {
@@ -45,7 +31,7 @@
          ++index)
     {
         taken.push_back(log.at(index));
-        bytes += body_size(taken.back().m_command);
+        bytes += content_size(taken.back().m_command);
     }
     return taken;
 }
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -427,6 +427,7 @@
 {
     m_state.apply(entry);
     m_applied = entry.m_index;
+    m_bytes_since_snapshot += content_size(entry.m_command);
     if (std::holds_alternative<begin_term>(entry.m_command))
         m_applied_term = entry.m_term;
     if (m_coordinator)
@@ -495,8 +496,10 @@
 
 auto control::compact(control_context const& with) -> void
 {
-    if (m_applied < m_snapshot + m_settings.m_snapshot_interval)
+    if (m_applied < m_snapshot + m_settings.m_snapshot_interval &&
+        m_bytes_since_snapshot < m_settings.m_snapshot_bytes)
         return;
+    m_bytes_since_snapshot = 0;
     m_snapshot = m_applied;
     m_replica.compact(m_applied, m_codec.m_encode(m_state.image()), with.m_out);
 }
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -107,6 +107,7 @@
     term_number m_applied_term = 0;
     log_index m_applied = 0;
     log_index m_snapshot = 0;
+    std::size_t m_bytes_since_snapshot = 0;
     unix_milliseconds m_wall = 0;
     std::map<node_id, hello> m_peers;
     std::multimap<std::string, operator_wait> m_operators;
--- a/src/core/roles/coordinator.hpp
+++ b/src/core/roles/coordinator.hpp
@@ -41,6 +41,8 @@
     std::uint32_t m_retry_percent = 10;
     /// Entries between two snapshots.
     log_index m_snapshot_interval = 20'000;
+    /// Bytes of content between two snapshots; bounds what a restart reads.
+    std::size_t m_snapshot_bytes = std::size_t{64} << 20U;
 };
 
 /// What the leader knows of an announced agent.
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -22,6 +22,8 @@
     auto operator()(started const& event) -> void
     {
         m_node.m_random.seed(event.m_seed);
+        if (m_node.m_broker)
+            m_node.m_broker->start(m_now);
         if (m_node.m_control)
             m_node.m_control->start(m_now, m_node.m_random.number(), m_out);
         // A replica that leads serves the other role of its own process too.
@@ -277,8 +279,8 @@
     words.m_address = target.m_address;
     words.m_cluster = target.m_control ? target.m_control->cluster() : 0;
     words.m_secret = target.m_secret;
-    words.m_needs_configuration =
-        target.m_entry || target.m_agent || target.m_broker;
+    words.m_needs_configuration = target.m_entry || target.m_agent ||
+                                  target.m_broker || target.m_executor;
     words.m_follows_any_replica = target.m_broker || target.m_executor;
     return words;
 }
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -24,6 +24,11 @@
 constexpr auto control_link_port_offset = 0;
 constexpr auto entry_link_port_offset = 1;
 
+// Disks hold 128 MB, and a restart reads whole segments before it can vote.
+// A configuration with some hundred queues takes about 0.1 MB.
+constexpr auto segment_bytes = std::uint32_t{1} << 20U;
+constexpr auto snapshot_interval_bytes = std::uint32_t{4} << 20U;
+
 auto fail(std::string text) -> boost::leaf::error_id
 {
     return boost::leaf::new_error(settings_error{std::move(text)});
@@ -150,6 +155,8 @@
         join(host.m_ip, host.m_first_port + control_link_port_offset);
     control.m_operators_address = join(host.m_ip, control_metrics_port);
     control.m_data_folder = host.m_data_folder;
+    control.m_segment_bytes = segment_bytes;
+    control.m_snapshot_interval_bytes = snapshot_interval_bytes;
     control.m_group.m_seeds = out.m_control_addresses;
     control.m_group.m_is_first_start = host.m_is_first_start;
     // A majority must remain when the tolerated number is lost.
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -28,7 +28,7 @@
 
 // A VM without power answers nothing, and its next process should be found soon
 // after it starts. A hello takes a few round trips.
-constexpr auto hello_timeout = core::duration{std::chrono::milliseconds{700}};
+constexpr auto hello_timeout = core::duration{std::chrono::milliseconds{300}};
 constexpr auto longest_backoff = core::duration{std::chrono::milliseconds{400}};
 // A configuration must reach every process within 2 s of its acceptance, also
 // if the link went silent just before.
@@ -176,6 +176,7 @@
     auto const& wanted = *m_settings.m_control;
     auto options = storage::storage_options{};
     options.m_fsync = wanted.m_fsync;
+    options.m_segment_bytes = wanted.m_segment_bytes;
     BOOST_LEAF_AUTO(opened, storage::data_folder::open(wanted.m_data_folder,
                                                        std::move(options)));
     for (auto const& warning : opened.m_warnings)
@@ -186,6 +187,7 @@
     limits.m_key_limit = wanted.m_key_limit;
     limits.m_content_limit = m_settings.m_frame_limit_bytes / 2;
     limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
+    limits.m_snapshot_bytes = wanted.m_snapshot_interval_bytes;
     auto replication = core::replica_settings{};
     if (!wanted.m_group.m_seeds.empty())
     {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -177,6 +177,8 @@
     in.read("key_retention_hours", out.m_key_retention_hours);
     in.read("key_limit", out.m_key_limit);
     in.read("snapshot_interval_entries", out.m_snapshot_interval_entries);
+    in.read("snapshot_interval_bytes", out.m_snapshot_interval_bytes);
+    in.read("segment_bytes", out.m_segment_bytes);
     in.read("fsync", out.m_fsync);
     in.object().refuse_unknown();
     return out;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -69,6 +69,11 @@
     std::uint32_t m_key_limit = 1'000'000;
     /// Log entries between two snapshots. Default: 20000.
     std::uint32_t m_snapshot_interval_entries = 20'000;
+    /// Bytes of content in the log between two snapshots. Default: 64 MiB.
+    std::uint32_t m_snapshot_interval_bytes = 67'108'864;
+    /// Size of one file of the log, reserved when it is created, in bytes.
+    /// Default: 16 MiB.
+    std::uint32_t m_segment_bytes = 16'777'216;
     /// Syncs every write before it counts. Default: true. False is for tests
     /// only: acceptances can be lost when a VM stops.
     bool m_fsync = true;
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -121,6 +121,13 @@
                        broker.receive(m_now, core::node_id{9'999}, change,
                                       m_random, out);
                    });
+    for (auto& [name, worker] : m_workers)
+        agent_feed(worker,
+                   [&](core::executor& executor, core::effects& out)
+                   {
+                       executor.receive(m_now, core::node_id{9'999}, change,
+                                        out);
+                   });
 }
 
 auto placement_world::submit(std::string const& entry, std::string const& queue,
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -383,6 +383,51 @@
     check_promises(*world);
 }
 
+// Guards against an entry that can't serve after a restart because all control
+// replicas are lost: agents tell it the last configuration.
+BOOST_AUTO_TEST_CASE(a_new_entry_learns_the_configuration_from_agents)
+{
+    auto world = make_world();
+    world->add_entry("e3");
+    world->run_for(milliseconds{20});
+    auto const job = world->submit(
+        "e3", "fast", make_job("a", 2, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    BOOST_TEST(world->run_until_answered(job, seconds{2}));
+    BOOST_TEST(is_completed(*world, job));
+}
+
+// Guards against clients that are sent away for good while their entry starts.
+BOOST_AUTO_TEST_CASE(a_job_that_comes_during_the_start_is_taken)
+{
+    auto world = std::make_unique<placement_world>();
+    world->add_entry("e1");
+    world->entry("e1").start(world->now());
+    auto const job = world->submit(
+        "e1", "fast", make_job("a", 1, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    world->run_for(milliseconds{100});
+    BOOST_TEST(world->answer(job) == nullptr);
+    world->add_worker("w1");
+    world->configure();
+    BOOST_TEST(world->run_until_answered(job, milliseconds{100}));
+    BOOST_TEST(is_completed(*world, job));
+}
+
+// Guards against clients that wait for an entry that can't serve.
+BOOST_AUTO_TEST_CASE(a_start_that_takes_long_refuses_its_jobs)
+{
+    auto world = std::make_unique<placement_world>();
+    world->add_entry("e1");
+    world->entry("e1").start(world->now());
+    auto const job = world->submit(
+        "e1", "fast", make_job("a", 1, milliseconds{60}, milliseconds{60}),
+        seconds{2});
+    BOOST_TEST(world->run_until_answered(job, milliseconds{800}));
+    BOOST_TEST(
+        (world->answer(job)->m_verdict.m_run == core::run_state::not_run));
+}
+
 // Guards against a job that is held although nothing could run it.
 BOOST_AUTO_TEST_CASE(a_job_without_any_worker_is_refused_at_once)
 {
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -73,6 +73,9 @@
     check("control.key_limit", read.m_control->m_key_limit);
     check("control.snapshot_interval_entries",
           read.m_control->m_snapshot_interval_entries);
+    check("control.snapshot_interval_bytes",
+          read.m_control->m_snapshot_interval_bytes);
+    check("control.segment_bytes", read.m_control->m_segment_bytes);
     check("agent.accelerators", read.m_agent->m_accelerators);
     check("agent.call_timeout_ms", read.m_agent->m_call_timeout_ms);
     BOOST_TEST(read.m_control->m_fsync);
