Settle lost orders and polls within a tenth of a second

Cause: a twentieth of the orders to workers got no answer. A lost poll held up the ends of all runs for 0.5 s and made its worker count as unreachable; a lost start was settled only when its lease had run out, after 0.36 s. Half of the jobs took 0.6 s then. A poll now waits 0.1 s at most, a lost one is followed by a probe at once, and a worker counts as unreachable after two. A start without an answer is looked for, and if it is not there, a stop keeps it from being carried out later, so that the task can go elsewhere.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -19,13 +19,8 @@
 // A start that gets no answer may be carried out until its own lease has run
 // out; a short one tells sooner that it was not. The next poll extends it.
 constexpr auto start_lease = duration{std::chrono::milliseconds{350}};
-// The worker answers a poll at the next end or after this time. Shorter than
-// the time in which a silent worker should be noticed, a third of the lease.
-constexpr auto poll_wait = duration{std::chrono::milliseconds{300}};
-// Delay before a worker that did not answer is asked again; doubles each time.
-constexpr auto poll_retry = duration{std::chrono::milliseconds{50}};
-constexpr auto poll_retry_max = duration{std::chrono::milliseconds{500}};
-constexpr auto stop_retry = duration{std::chrono::milliseconds{200}};
+// A stop that gets no answer is repeated.
+constexpr auto stop_retry = duration{std::chrono::milliseconds{80}};
 // Loads that changed are sent at most this often, one message for several
 // changes.
 constexpr auto load_interval = duration{std::chrono::milliseconds{10}};
@@ -183,7 +178,8 @@
     if (m_worker && !is_same)
     {
         // A delayed report of an earlier lifetime.
-        if (report.m_incarnation < m_worker->m_incarnation && m_is_reachable)
+        if (report.m_incarnation < m_worker->m_incarnation &&
+            m_polls.is_reachable())
             return;
         out.emplace_back(
             log_line{log_level::info,
@@ -230,7 +226,8 @@
         std::max(report.m_clock_ms, std::int64_t{1}));
     m_acknowledged = 0;
     m_lease_until_ms = 0;
-    m_is_reachable = true;
+    m_polls.reset();
+    m_listed_at = {};
     m_is_surveyed = false;
     m_strays.clear();
     m_health = {};
@@ -261,7 +258,7 @@
                                {"runs_lost", std::to_string(m_live.size())}}});
     lose_worker(now, out);
     m_worker->m_is_accepting = false;
-    m_is_reachable = false;
+    m_polls.lose(now);
     settle(now, out);
 }
 
@@ -296,6 +293,9 @@
         break;
     case worker_answer::unknown:
         run.m_state = run_state::unsure;
+        run.m_unsure_at = now;
+        run.m_stop_again_at = now;
+        m_polls.want_list();
         break;
     case worker_answer::fenced:
         m_token =
@@ -328,60 +328,76 @@
     if (answer.m_answer == worker_answer::fenced)
         m_token =
             std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+    auto const found =
+        m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
+    if (answer.m_answer == worker_answer::accepted && found != m_live.end() &&
+        found->second.m_number == answer.m_run.m_run &&
+        found->second.m_state == run_state::unsure)
+    {
+        found->second.m_revoked_at = now;
+        m_polls.want_list();
+    }
     settle(now, out);
 }
 
 auto executor::answered(time_point now, runs_polled const& answer, effects& out)
     -> void
 {
-    if (answer.m_poll != m_poll || m_poll_sent_at == never)
-        return;
-    auto const sent_at = std::exchange(m_poll_sent_at, never);
-    m_poll_at = now;
-    if (answer.m_answer == worker_answer::accepted && m_worker &&
-        (answer.m_incarnation == 0 ||
-         answer.m_incarnation == m_worker->m_incarnation))
+    auto const is_usable = answer.m_answer == worker_answer::accepted &&
+                           m_worker &&
+                           (answer.m_incarnation == 0 ||
+                            answer.m_incarnation == m_worker->m_incarnation);
+    m_clock.observe(now, answer.m_clock_ms);
+    if (!is_usable)
+        poll_failed(now, answer, out);
+    else
     {
-        if (!std::exchange(m_is_reachable, true))
+        auto const was_reachable = m_polls.is_reachable();
+        auto const sent_at = m_polls.answered(answer.m_poll);
+        if (!sent_at)
+            return;
+        if (!was_reachable)
         {
             m_is_load_due = true;
             out.emplace_back(log_line{log_level::info,
                                       "worker_regained",
                                       {{"worker", m_worker->m_name}}});
         }
-        m_clock.observe(now, answer.m_clock_ms);
-        m_poll_delay = {};
-        m_poll_sent_at = sent_at;
         for (auto const& ended : answer.m_ended)
             take_end(now, ended, out);
-        check_listed(now, answer, out);
-        m_poll_sent_at = never;
+        if (*sent_at >= m_listed_at)
+            take_list(now, *sent_at, answer, out);
     }
-    else
+    settle(now, out);
+}
+
+auto executor::poll_failed(time_point now, runs_polled const& answer,
+                           effects& out) -> void
+{
+    auto const was_reachable = m_polls.is_reachable();
+    if (!m_polls.failed(now, answer.m_poll))
+        return;
+    // The acknowledgement may be lost with it.
+    m_has_unacknowledged = true;
+    if (answer.m_answer == worker_answer::fenced)
+        m_token =
+            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+    // Another lifetime answers: nothing of the old one runs any more.
+    if (answer.m_answer == worker_answer::other_lifetime ||
+        answer.m_answer == worker_answer::accepted)
     {
-        m_clock.observe(now, answer.m_clock_ms);
-        m_poll_delay = std::clamp(2 * m_poll_delay, poll_retry, poll_retry_max);
-        m_poll_at = now + m_poll_delay;
-        if (answer.m_answer == worker_answer::fenced)
-            m_token = std::max(m_token + 1,
-                               static_cast<std::uint64_t>(m_clock.at(now)));
-        else if (std::exchange(m_is_reachable, false))
-        {
-            m_is_load_due = true;
-            out.emplace_back(
-                log_line{log_level::warning,
-                         "worker_unreachable",
-                         {{"worker", m_worker ? m_worker->m_name : ""},
-                          {"answer", std::string{to_string(answer.m_answer)}},
-                          {"running", std::to_string(m_live.size())}}});
-        }
-        // Another lifetime answers: nothing of the old one runs any more.
-        auto const is_gone = answer.m_answer == worker_answer::other_lifetime ||
-                             answer.m_answer == worker_answer::accepted;
-        if (is_gone)
-            lose_worker(now, out);
+        m_polls.lose(now);
+        lose_worker(now, out);
     }
-    settle(now, out);
+    if (!was_reachable || m_polls.is_reachable())
+        return;
+    m_is_load_due = true;
+    out.emplace_back(
+        log_line{log_level::warning,
+                 "worker_unreachable",
+                 {{"worker", m_worker ? m_worker->m_name : ""},
+                  {"answer", std::string{to_string(answer.m_answer)}},
+                  {"running", std::to_string(m_live.size())}}});
 }
 
 auto executor::take_end(time_point now, ended_run const& ended, effects& out)
@@ -397,9 +413,10 @@
     finish(now, found, ended.m_outcome, reason::none, out);
 }
 
-auto executor::check_listed(time_point now, runs_polled const& answer,
-                            effects& out) -> void
+auto executor::take_list(time_point now, time_point sent_at,
+                         runs_polled const& answer, effects& out) -> void
 {
+    m_listed_at = sent_at;
     auto listed = std::set<live_key>{};
     auto strays = std::vector<worker_run>{};
     for (auto const& each : answer.m_running)
@@ -409,17 +426,17 @@
         listed.insert(key);
         if (found == m_live.end() || found->second.m_number != each.m_run)
             strays.push_back(each);
-        else if (found->second.m_state == run_state::unsure)
-            confirm_start(now, *found, out);
     }
     for (auto each = m_live.begin(); each != m_live.end();)
     {
         auto const current = each++;
         auto const& run = current->second;
-        auto const is_settled = run.m_state == run_state::running ||
-                                run.m_state == run_state::stopping;
-        if (is_settled && run.m_started_at < m_poll_sent_at &&
-            !listed.contains(current->first))
+        auto const is_listed = listed.contains(current->first);
+        auto const has_started = run.m_state == run_state::running ||
+                                 run.m_state == run_state::stopping;
+        if (run.m_state == run_state::unsure)
+            settle_unsure(now, current, is_listed, sent_at, out);
+        else if (has_started && run.m_started_at < sent_at && !is_listed)
             finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
     }
     m_is_load_due = m_is_load_due || !m_is_surveyed || !m_strays.empty();
@@ -427,6 +444,24 @@
     stop_strays(now, std::move(strays), out);
 }
 
+auto executor::settle_unsure(time_point now, live_runs::iterator run,
+                             bool is_listed, time_point sent_at, effects& out)
+    -> void
+{
+    auto& state = run->second;
+    if (is_listed)
+        confirm_start(now, *run, out);
+    else if (sent_at >= state.m_revoked_at)
+        finish(now, run, run_outcome::refused, reason::agent_lost, out);
+    else if (sent_at >= state.m_unsure_at && now >= state.m_stop_again_at)
+    {
+        // Not there: a stop keeps the order from being carried out later.
+        state.m_stop_again_at = now + stop_retry;
+        out.emplace_back(stop_run{
+            target(), {run->first.first, run->first.second, state.m_number}});
+    }
+}
+
 auto executor::stop_strays(time_point now, std::vector<worker_run> strays,
                            effects& out) -> void
 {
@@ -573,7 +608,7 @@
 {
     // Without a poll that is answered, the lease runs out and everything ends.
     auto const lapse_at = m_clock.certainly_reached(m_lease_until_ms);
-    if (!m_is_reachable && !m_live.empty() && now >= lapse_at)
+    if (!m_polls.is_reachable() && !m_live.empty() && now >= lapse_at)
     {
         out.emplace_back(log_line{log_level::warning,
                                   "runs_lapsed",
@@ -691,28 +726,28 @@
 
 auto executor::poll(time_point now, effects& out) -> void
 {
-    auto const is_wanted = !m_live.empty() || m_has_unacknowledged ||
-                           !m_strays.empty() || (m_worker && !m_is_reachable);
-    if (!is_wanted || !m_worker || m_poll_sent_at != never)
-        return;
-    if (m_poll_at != never && now < m_poll_at)
+    if (!m_worker)
         return;
-    auto order = poll_runs{};
-    order.m_poll = ++m_poll;
-    order.m_target = target();
-    order.m_acknowledged = m_acknowledged;
-    // A worker that does not answer is left to let its runs lapse.
-    if (m_is_reachable && !m_live.empty())
+    auto const has_runs = !m_live.empty() || !m_strays.empty();
+    while (auto const due = m_polls.next(now, has_runs, m_has_unacknowledged))
     {
-        order.m_lease_until_ms =
-            m_clock.at(now) + to_milliseconds(m_settings.m_lease);
+        auto order = poll_runs{};
+        order.m_poll = due->m_number;
+        order.m_target = target();
+        order.m_acknowledged = m_acknowledged;
         order.m_wait_ms =
-            static_cast<std::uint32_t>(to_milliseconds(poll_wait));
-        m_lease_until_ms = std::max(m_lease_until_ms, order.m_lease_until_ms);
+            static_cast<std::uint32_t>(to_milliseconds(due->m_wait));
+        // A worker that does not answer is left to let its runs lapse.
+        if (m_polls.is_reachable() && !m_live.empty())
+        {
+            order.m_lease_until_ms =
+                m_clock.at(now) + to_milliseconds(m_settings.m_lease);
+            m_lease_until_ms =
+                std::max(m_lease_until_ms, order.m_lease_until_ms);
+        }
+        m_has_unacknowledged = false;
+        out.emplace_back(std::move(order));
     }
-    m_has_unacknowledged = false;
-    m_poll_sent_at = now;
-    out.emplace_back(std::move(order));
 }
 
 auto executor::send_ends(effects& out) -> void
@@ -790,7 +825,7 @@
 auto executor::accepts(time_point now) const -> acceptance
 {
     if (m_is_stopping || !m_worker || !m_worker->m_is_accepting ||
-        !m_is_reachable || !m_is_surveyed || !m_strays.empty())
+        !m_polls.is_reachable() || !m_is_surveyed || !m_strays.empty())
         return acceptance::none;
     if (!m_health.is_on_probation())
         return acceptance::full;
@@ -833,10 +868,8 @@
 auto executor::next_deadline() const -> time_point
 {
     auto first = never;
-    if (m_worker && m_poll_sent_at == never &&
-        (!m_live.empty() || m_has_unacknowledged || !m_strays.empty() ||
-         !m_is_reachable))
-        first = std::min(first, m_poll_at);
+    if (m_worker)
+        first = std::min(first, m_polls.next_deadline());
     auto const has_contacts =
         std::ranges::any_of(m_contacts,
                             [](auto const& each)
@@ -847,11 +880,12 @@
         first = std::min(first,
                          m_load_sent_at + (m_is_load_due ? load_interval
                                                          : idle_load_interval));
-    if (!m_is_reachable && !m_live.empty())
+    if (!m_polls.is_reachable() && !m_live.empty())
         first = std::min(first, m_clock.certainly_reached(m_lease_until_ms));
     for (auto const& [key, run] : m_live)
     {
-        first = std::min(first, run.m_stop_again_at);
+        if (run.m_state == run_state::stopping)
+            first = std::min(first, run.m_stop_again_at);
         if (run.m_state == run_state::unsure)
             first = std::min(first,
                              m_clock.certainly_reached(run.m_lease_until_ms));
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -7,6 +7,7 @@
 #include "core/placement/run_queue.hpp"
 #include "core/placement/worker_clock.hpp"
 #include "core/placement/worker_pace.hpp"
+#include "core/placement/worker_polls.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -86,6 +87,10 @@
         bool m_is_hung = false;
         /// To be stopped as soon as it is known to have started.
         bool m_is_unwanted = false;
+        /// Since when it is unsure whether it has started.
+        time_point m_unsure_at = never;
+        /// The worker confirmed then that it will not start any more.
+        time_point m_revoked_at = never;
         time_point m_stop_again_at = never;
     };
 
@@ -132,7 +137,12 @@
     auto learn(time_point now, live_run const& ended, run_outcome outcome)
         -> void;
     auto take_end(time_point now, ended_run const& ended, effects& out) -> void;
-    auto check_listed(time_point now, runs_polled const& answer, effects& out)
+    auto take_list(time_point now, time_point sent_at,
+                   runs_polled const& answer, effects& out) -> void;
+    /// Settles a run of which it is unsure whether it has started.
+    auto settle_unsure(time_point now, live_runs::iterator run, bool is_listed,
+                       time_point sent_at, effects& out) -> void;
+    auto poll_failed(time_point now, runs_polled const& answer, effects& out)
         -> void;
     auto stop_strays(time_point now, std::vector<worker_run> strays,
                      effects& out) -> void;
@@ -162,7 +172,6 @@
     std::optional<worker_report> m_worker;
     worker_clock m_clock;
     std::uint64_t m_token = 0;
-    bool m_is_reachable = false;
     /// The worker's runs were listed once in its lifetime, so that its room is
     /// known.
     bool m_is_surveyed = false;
@@ -178,10 +187,10 @@
     live_runs m_live;
     std::map<node_id, contact> m_contacts;
 
-    std::uint64_t m_poll = 0;
-    time_point m_poll_sent_at = never;
-    time_point m_poll_at = never;
-    duration m_poll_delay{0};
+    worker_polls m_polls;
+    /// Send time of the newest list that was taken into account. Answers on
+    /// different connections may overtake each other.
+    time_point m_listed_at{0};
     std::uint64_t m_acknowledged = 0;
     bool m_has_unacknowledged = false;
     /// Longest lease of any order, by the worker's clock.
--- /dev/null
+++ b/src/core/placement/worker_polls.cpp
@@ -0,0 +1,116 @@
+#include "core/placement/worker_polls.hpp"
+
+#include <algorithm>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// A poll whose answer is lost holds up the ends of all runs, so it must not
+// wait long; tasks commonly end every few tens of milliseconds.
+constexpr auto poll_wait = duration{std::chrono::milliseconds{100}};
+// Delay before a worker that did not answer is asked again; doubles each time.
+constexpr auto retry_minimum = duration{std::chrono::milliseconds{50}};
+constexpr auto retry_maximum = duration{std::chrono::milliseconds{500}};
+// One lost answer says nothing of the worker.
+constexpr auto failures_to_unreachable = 2U;
+
+} // namespace
+
+auto worker_polls::reset() -> void
+{
+    m_outstanding.clear();
+    m_is_reachable = true;
+    m_is_list_wanted = false;
+    m_failures = 0;
+    m_retry_at = never;
+    m_retry_delay = {};
+}
+
+auto worker_polls::want_list() -> void
+{
+    m_is_list_wanted = true;
+}
+
+auto worker_polls::next(time_point now, bool has_runs, bool has_news)
+    -> std::optional<due_poll>
+{
+    if (!m_is_reachable)
+    {
+        if (!m_outstanding.empty() || now < m_retry_at)
+            return std::nullopt;
+        return send(now, {});
+    }
+    if (m_is_list_wanted && !has_outstanding(true))
+    {
+        m_is_list_wanted = false;
+        return send(now, {});
+    }
+    if (has_runs && !has_outstanding(false))
+        return send(now, poll_wait);
+    if (!has_runs && has_news && m_outstanding.empty())
+        return send(now, {});
+    return std::nullopt;
+}
+
+auto worker_polls::answered(std::uint64_t number) -> std::optional<time_point>
+{
+    auto const found = m_outstanding.find(number);
+    if (found == m_outstanding.end())
+        return std::nullopt;
+    auto const sent_at = found->second.m_sent_at;
+    m_outstanding.erase(found);
+    m_is_reachable = true;
+    m_failures = 0;
+    m_retry_at = never;
+    m_retry_delay = {};
+    return sent_at;
+}
+
+auto worker_polls::failed(time_point now, std::uint64_t number) -> bool
+{
+    if (m_outstanding.erase(number) == 0)
+        return false;
+    if (++m_failures >= failures_to_unreachable)
+        lose(now);
+    else
+        m_is_list_wanted = true;
+    return true;
+}
+
+auto worker_polls::lose(time_point now) -> void
+{
+    m_is_reachable = false;
+    m_retry_delay = std::clamp(2 * m_retry_delay, retry_minimum, retry_maximum);
+    m_retry_at = now + m_retry_delay;
+}
+
+auto worker_polls::is_reachable() const -> bool
+{
+    return m_is_reachable;
+}
+
+auto worker_polls::next_deadline() const -> time_point
+{
+    return !m_is_reachable && m_outstanding.empty() ? m_retry_at : never;
+}
+
+auto worker_polls::has_outstanding(bool is_probe) const -> bool
+{
+    return std::ranges::any_of(m_outstanding,
+                               [is_probe](auto const& each)
+                               {
+                                   return each.second.m_is_probe == is_probe;
+                               });
+}
+
+auto worker_polls::send(time_point now, duration wait) -> due_poll
+{
+    ++m_last_number;
+    m_outstanding[m_last_number] = {now, wait == duration{0}};
+    return {m_last_number, wait};
+}
+
+} // namespace hickorylatch::core
--- a/src/platform/worker_api.cpp
+++ b/src/platform/worker_api.cpp
@@ -21,9 +21,9 @@
 
 // A worker answers within a millisecond. An order without an answer by then is
 // taken for one that may be carried out later.
-constexpr auto order_limit = core::duration{std::chrono::milliseconds{150}};
+constexpr auto order_limit = core::duration{std::chrono::milliseconds{60}};
 // Beyond the time that a poll may wait at the worker.
-constexpr auto poll_grace = core::duration{std::chrono::milliseconds{200}};
+constexpr auto poll_grace = core::duration{std::chrono::milliseconds{60}};
 constexpr auto idle_limit = core::duration{std::chrono::seconds{60}};
 
 /// What an HTTP answer to an order means.
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -15,8 +15,8 @@
 
 constexpr auto link_delay = milliseconds{1};
 constexpr auto worker_delay = microseconds{200};
-constexpr auto order_timeout = milliseconds{150};
-constexpr auto poll_grace = milliseconds{200};
+constexpr auto order_timeout = milliseconds{60};
+constexpr auto poll_grace = milliseconds{60};
 constexpr auto silence_limit = milliseconds{360};
 constexpr auto reconnect_delay = milliseconds{50};
 constexpr auto late_delay = std::chrono::seconds{2};
@@ -195,8 +195,8 @@
     {
         first = std::min({first, worker.m_executor->next_deadline(),
                           worker.m_worker->next_event()});
-        if (worker.m_waiting_poll)
-            first = std::min(first, worker.m_poll_until);
+        if (!worker.m_waiting_polls.empty())
+            first = std::min(first, worker.m_waiting_polls.begin()->first);
     }
     return first;
 }
@@ -218,9 +218,7 @@
     for (auto& [name, worker] : m_workers)
     {
         worker.m_worker->advance(m_now);
-        if (worker.m_waiting_poll &&
-            (worker.m_worker->has_ends() || worker.m_poll_until <= m_now))
-            answer_poll(worker);
+        answer_polls(worker);
         if (worker.m_executor->next_deadline() > m_now)
             continue;
         agent_feed(worker,
@@ -301,10 +299,23 @@
     m_entries.at(name).m_broker.reset();
 }
 
-auto placement_world::set_fault(std::string const& worker, order_fault fault)
-    -> void
+auto placement_world::set_fault(std::string const& worker, order_fault fault,
+                                unsigned percent) -> void
 {
     m_workers.at(worker).m_fault = fault;
+    m_workers.at(worker).m_fault_percent = percent;
+}
+
+auto placement_world::draw_fault(worker_state const& worker) -> order_fault
+{
+    return m_random.number() % 100 < worker.m_fault_percent ? worker.m_fault
+                                                            : order_fault::none;
+}
+
+auto placement_world::lose_polls(std::string const& worker, unsigned count)
+    -> void
+{
+    m_workers.at(worker).m_lost_polls = count;
 }
 
 auto placement_world::restart_worker(std::string const& name) -> void
@@ -314,7 +325,7 @@
     state.m_past_starts += state.m_worker->starts();
     state.m_worker =
         std::make_unique<worker_model::leased_worker>(state.m_settings);
-    state.m_waiting_poll.reset();
+    state.m_waiting_polls.clear();
     ++state.m_report.m_incarnation;
     state.m_report.m_sequence = 0;
     state.m_report.m_is_accepting = true;
@@ -336,7 +347,7 @@
     state.m_node = core::node_id{1'000 + ++m_last_node};
     state.m_executor =
         std::make_unique<core::executor>(core::executor_settings{});
-    state.m_waiting_poll.reset();
+    state.m_waiting_polls.clear();
     for (auto const& [entry, each] : m_entries)
         connect(entry, name);
     report(state);
@@ -418,7 +429,9 @@
         stop(worker, *stopped);
     else if (auto const* poll = std::get_if<core::poll_runs>(&wanted))
     {
-        if (worker.m_fault == order_fault::silent)
+        auto const is_lost =
+            worker.m_lost_polls != 0 && worker.m_lost_polls-- != 0;
+        if (worker.m_fault == order_fault::silent || is_lost)
         {
             auto const node = worker.m_node;
             after(milliseconds{poll->m_wait_ms} + poll_grace,
@@ -436,9 +449,8 @@
                   });
             return;
         }
-        worker.m_waiting_poll = *poll;
-        worker.m_poll_until =
-            m_now + worker_delay + milliseconds{poll->m_wait_ms};
+        worker.m_waiting_polls.emplace(
+            m_now + worker_delay + milliseconds{poll->m_wait_ms}, *poll);
         static_cast<void>(worker.m_worker->poll(
             m_now, poll->m_acknowledged, poll->m_lease_until_ms,
             poll->m_target.m_fencing_token));
@@ -481,7 +493,7 @@
                        executor.answered(m_now, answer, out);
                    });
     };
-    auto const fault = worker.m_fault;
+    auto const fault = draw_fault(worker);
     if (fault == order_fault::none)
         after(worker_delay,
               [=]
@@ -513,39 +525,57 @@
 auto placement_world::stop(worker_state& worker, core::stop_run const& order)
     -> void
 {
-    auto const delay = worker.m_fault == order_fault::late
+    auto const fault = draw_fault(worker);
+    if (fault == order_fault::silent)
+        return;
+    auto const delay = fault == order_fault::late
                            ? core::duration{late_delay}
                            : core::duration{worker_delay};
-    if (worker.m_fault == order_fault::silent)
-        return;
-    after(delay,
-          [&worker, order, this]
-          {
-              worker.m_worker->stop(m_now, order.m_run,
-                                    order.m_target.m_fencing_token);
-          });
-}
-
-auto placement_world::answer_poll(worker_state& worker) -> void
-{
-    auto const poll = *std::exchange(worker.m_waiting_poll, std::nullopt);
-    auto listed = worker.m_worker->poll(m_now, poll.m_acknowledged, 0,
-                                        poll.m_target.m_fencing_token);
-    listed.m_poll = poll.m_poll;
-    listed.m_incarnation = worker.m_report.m_incarnation;
     auto const node = worker.m_node;
-    after(worker_delay,
-          [&worker, node, listed, this]
+    after(delay,
+          [&worker, node, fault, order, this]
           {
-              if (worker.m_node == node)
+              auto answer = core::run_stop_answered{};
+              answer.m_run = order.m_run;
+              answer.m_answer = worker.m_worker->stop(
+                  m_now, order.m_run, order.m_target.m_fencing_token);
+              answer.m_clock_ms = worker.m_worker->clock_ms(m_now);
+              if (worker.m_node == node && fault == order_fault::none)
                   agent_feed(worker,
                              [&](core::executor& executor, core::effects& out)
                              {
-                                 executor.answered(m_now, listed, out);
+                                 executor.answered(m_now, answer, out);
                              });
           });
 }
 
+auto placement_world::answer_polls(worker_state& worker) -> void
+{
+    while (!worker.m_waiting_polls.empty() &&
+           (worker.m_worker->has_ends() ||
+            worker.m_waiting_polls.begin()->first <= m_now))
+    {
+        auto const poll = worker.m_waiting_polls.begin()->second;
+        worker.m_waiting_polls.erase(worker.m_waiting_polls.begin());
+        auto listed = worker.m_worker->poll(m_now, poll.m_acknowledged, 0,
+                                            poll.m_target.m_fencing_token);
+        listed.m_poll = poll.m_poll;
+        listed.m_incarnation = worker.m_report.m_incarnation;
+        auto const node = worker.m_node;
+        after(worker_delay,
+              [&worker, node, listed, this]
+              {
+                  if (worker.m_node == node)
+                      agent_feed(
+                          worker,
+                          [&](core::executor& executor, core::effects& out)
+                          {
+                              executor.answered(m_now, listed, out);
+                          });
+              });
+    }
+}
+
 auto placement_world::deliver(core::node_id from, core::node_id to,
                               core::message message) -> void
 {
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -70,7 +70,12 @@
     auto cut(std::string const& entry, std::string const& worker, bool is_cut)
         -> void;
     auto kill_entry(std::string const& name) -> void;
-    auto set_fault(std::string const& worker, order_fault fault) -> void;
+    /// `percent` of the worker's orders fail in this way. A worker that is
+    /// silent is so for all.
+    auto set_fault(std::string const& worker, order_fault fault,
+                   unsigned percent = 100) -> void;
+    /// Lets the next polls of a worker go without an answer.
+    auto lose_polls(std::string const& worker, unsigned count) -> void;
     /// Crashes the worker; a new lifetime under the same name follows.
     auto restart_worker(std::string const& name) -> void;
     auto drain_worker(std::string const& name) -> void;
@@ -106,10 +111,12 @@
         worker_model::leased_worker_settings m_settings;
         core::worker_report m_report;
         order_fault m_fault = order_fault::none;
+        unsigned m_fault_percent = 100;
+        unsigned m_lost_polls = 0;
         unsigned m_past_overloads = 0;
         unsigned m_past_starts = 0;
-        std::optional<core::poll_runs> m_waiting_poll;
-        core::time_point m_poll_until{0};
+        /// Polls at the worker, by the time until which they wait.
+        std::multimap<core::time_point, core::poll_runs> m_waiting_polls;
     };
 
     struct link_state
@@ -133,7 +140,9 @@
         -> void;
     auto start(worker_state& worker, core::start_run const& order) -> void;
     auto stop(worker_state& worker, core::stop_run const& order) -> void;
-    auto answer_poll(worker_state& worker) -> void;
+    auto answer_polls(worker_state& worker) -> void;
+    /// Draws how the next order to a worker fails.
+    auto draw_fault(worker_state const& worker) -> order_fault;
     auto report(worker_state& worker) -> void;
     auto tick_all() -> void;
     [[nodiscard]] auto next_time() -> core::time_point;
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -226,20 +226,49 @@
     check_promises(*world);
 }
 
-// Guards against a start without an answer that is carried out seconds later.
+// Guards against a start without an answer that is carried out seconds later,
+// and against waiting for its lease: a stop settles it.
 BOOST_AUTO_TEST_CASE(a_start_that_comes_late_does_nothing)
 {
     auto world = make_world();
-    for (auto const* name : {"w1", "w2"})
-        world->set_fault(name, order_fault::late);
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->set_fault(name, order_fault::late, 30);
+    auto jobs = std::vector<core::exchange_id>{};
+    for (auto number = 0; number < 10; ++number)
+    {
+        jobs.push_back(
+            world->submit("e1", "normal",
+                          make_job("o" + std::to_string(number), 6,
+                                   milliseconds{200}, milliseconds{200}),
+                          seconds{8}));
+        world->run_for(milliseconds{400});
+    }
+    world->run_for(seconds{5});
+    for (auto const job : jobs)
+    {
+        BOOST_TEST(is_completed(*world, job));
+        // A few lost orders in a row are noticed after 60 to 80 ms each.
+        BOOST_TEST((world->answer(job)->m_age < milliseconds{800}));
+    }
+    BOOST_TEST(world->starts() == 60U);
+    check_promises(*world);
+}
+
+// Guards against ends that are held up because one poll gets no answer, and
+// against a worker that is given up for it.
+BOOST_AUTO_TEST_CASE(a_lost_poll_holds_up_ends_only_shortly)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->lose_polls(name, 1);
     auto const job = world->submit(
-        "e1", "normal", make_job("o", 6, milliseconds{200}, milliseconds{200}),
-        seconds{8});
-    BOOST_TEST(world->run_until_answered(job, seconds{8}));
+        "e1", "normal", make_job("p", 6, milliseconds{100}, milliseconds{100}),
+        seconds{5});
+    BOOST_TEST(world->run_until_answered(job, seconds{5}));
     BOOST_TEST(is_completed(*world, job));
-    world->run_for(seconds{5});
+    BOOST_TEST((world->answer(job)->m_age < milliseconds{200}));
+    BOOST_TEST(world->logged("worker_unreachable") == 0U);
     BOOST_TEST(world->starts() == 6U);
-    check_promises(*world);
 }
 
 // Guards against a start whose answer is lost: the run is found by the next
