--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -437,7 +437,7 @@
     return made;
 }
 
-auto broker::carry_out(placed_job& job, plan wanted, effects& out) -> void
+auto broker::carry_out(placed_job& job, plan&& wanted, effects& out) -> void
 {
     for (auto& [agent, order] : wanted.m_orders)
     {
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -114,7 +114,7 @@
     /// Chooses a worker for every task that may start now.
     auto make_plan(time_point now, placed_job& job, random_source& random)
         -> plan;
-    auto carry_out(placed_job& job, plan wanted, effects& out) -> void;
+    auto carry_out(placed_job& job, plan&& wanted, effects& out) -> void;
     auto drop(plan const& unwanted) -> void;
     [[nodiscard]] auto expected_run(job_queue const& queue,
                                     job_step const& step) const -> duration;
