Log each decision with its inputs, bound the log, and follow changed settings

Every job has a line when it is taken or refused, with the waits, the workers and the age of the loads that decided it, and one when it ends; every run has one at its agent. Times of jobs and runs are histograms on the metrics address.

--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -206,13 +206,20 @@
     unix_milliseconds m_now = 0;
 };
 
+/// The settings name other control replicas to begin with.
+struct seeds_changed
+{
+    /// Where they accept links.
+    std::vector<std::string> m_seeds;
+};
+
 using event =
     std::variant<started, timer_fired, peer_connected, peer_disconnected,
                  message_received, log_synced, snapshot_saved, request_arrived,
                  request_abandoned, operator_arrived, call_finished,
                  stop_requested, clock_read, job_arrived, job_asked,
                  worker_reported, worker_left, run_start_answered,
-                 run_stop_answered, runs_polled>;
+                 run_stop_answered, runs_polled, seeds_changed>;
 
 } // namespace hickorylatch::core
 
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -39,6 +39,13 @@
 constexpr auto busy_retry_ms = std::uint32_t{1000};
 constexpr auto draining_retry_ms = std::uint32_t{1};
 
+auto count_refusal(verdict const& why) -> observe_metric
+{
+    return {"hickorylatch_refusals_total",
+            {{"verdict", std::string{to_string(why.m_run)}},
+             {"reason", std::string{to_string(why.m_reason)}}}};
+}
+
 auto job_verdict(run_state state, reason why) -> verdict
 {
     return {state, why, {}, 0};
@@ -52,9 +59,14 @@
             .count());
 }
 
-auto node_field(node_id node) -> std::string
+auto ms_field(duration value) -> std::string
+{
+    return std::to_string(to_ms(value));
+}
+
+auto seconds(duration value) -> double
 {
-    return std::to_string(static_cast<std::uint64_t>(node));
+    return std::chrono::duration<double>{value}.count();
 }
 
 } // namespace
@@ -215,7 +227,7 @@
                   {"task", std::to_string(task->m_index.m_step) + "." +
                                std::to_string(task->m_index.m_task)},
                   {"run", std::to_string(end.m_run.m_run)},
-                  {"agent", node_field(agent)},
+                  {"worker", std::string{m_workers.worker_name(agent)}},
                   {"outcome", std::string{to_string(end.m_outcome)}},
                   {"reason", std::string{to_string(end.m_reason)}},
                   {"ran_ms", std::to_string(end.m_run_ms)}}});
@@ -290,6 +302,7 @@
                   {"reason", std::string{to_string(why.m_reason)}},
                   {"detail", why.m_detail},
                   {"version", std::to_string(m_configuration.m_version)}}});
+    out.emplace_back(count_refusal(why));
     out.emplace_back(answer_job{request.m_exchange, why, job_state::failed});
 }
 
@@ -344,7 +357,9 @@
     auto made = make_plan(now, job->second, random);
     auto const limit =
         longest_wait(objective(job->second), made.m_finish - made.m_wait);
-    if (made.m_wait > limit)
+    auto const is_late = made.m_wait > limit;
+    out.emplace_back(describe(now, job->second, made, limit));
+    if (is_late)
     {
         drop(made);
         finish(now, job,
@@ -361,6 +376,33 @@
     carry_out(job->second, std::move(made), out);
 }
 
+auto broker::describe(time_point now, placed_job const& job, plan const& made,
+                      duration longest) const -> log_line
+{
+    auto workers = std::string{};
+    auto oldest = duration{0};
+    for (auto const& [agent, order] : made.m_orders)
+    {
+        if (!workers.empty())
+            workers += ',';
+        workers.append(m_workers.worker_name(agent))
+            .append(":")
+            .append(std::to_string(order.m_runs.size()));
+        oldest = std::max(oldest, m_workers.load_age(now, agent));
+    }
+    return {log_level::info,
+            made.m_wait > longest ? "job_late" : "job_taken",
+            {{"job", job.job().m_id},
+             {"queue", job.queue().m_name},
+             {"version", std::to_string(m_configuration.m_version)},
+             {"wait_ms", ms_field(made.m_wait)},
+             {"longest_wait_ms", ms_field(longest)},
+             {"finish_ms", ms_field(made.m_finish)},
+             {"load_age_ms", ms_field(oldest)},
+             {"workers", workers},
+             {"unplaced", std::to_string(made.m_unplaced)}}};
+}
+
 auto broker::expected_run(job_queue const& queue, job_step const& step) const
     -> duration
 {
@@ -555,15 +597,24 @@
     -> void
 {
     auto const& ended = job->second;
-    out.emplace_back(log_line{
-        state == job_state::completed ? log_level::debug : log_level::info,
-        "job_ended",
-        {{"job", ended.job().m_id},
-         {"queue", ended.queue().m_name},
-         {"state", std::string{to_string(state)}},
-         {"verdict", std::string{to_string(outcome.m_run)}},
-         {"reason", std::string{to_string(outcome.m_reason)}},
-         {"age_ms", std::to_string(to_ms(now - ended.arrived()))}}});
+    out.emplace_back(
+        log_line{log_level::info,
+                 "job_ended",
+                 {{"job", ended.job().m_id},
+                  {"queue", ended.queue().m_name},
+                  {"state", std::string{to_string(state)}},
+                  {"verdict", std::string{to_string(outcome.m_run)}},
+                  {"reason", std::string{to_string(outcome.m_reason)}},
+                  {"age_ms", ms_field(now - ended.arrived())}}});
+    out.emplace_back(
+        observe_metric{"hickorylatch_jobs_total",
+                       {{"verdict", std::string{to_string(outcome.m_run)}}}});
+    out.emplace_back(observe_metric{"hickorylatch_job_seconds",
+                                    {{"queue", ended.queue().m_name},
+                                     {"state", std::string{to_string(state)}}},
+                                    seconds(now - ended.arrived())});
+    if (outcome.m_run != core::run_state::ran)
+        out.emplace_back(count_refusal(outcome));
     withdraw(ended, out);
     out.emplace_back(answer_job{ended.exchange(), outcome, state});
     m_exchanges.erase(ended.exchange());
@@ -631,6 +682,12 @@
         carry_on(now, m_jobs.find(number), random, out);
 }
 
+auto broker::replace_seeds(std::vector<std::string> const& seeds, effects& out)
+    -> void
+{
+    m_links.replace_seeds(seeds, out);
+}
+
 auto broker::stop(time_point now) -> void
 {
     if (m_refuse_at != never)
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -47,6 +47,9 @@
     auto asked(job_asked const& request, effects& out) -> void;
     auto abandoned(time_point now, exchange_id exchange, effects& out) -> void;
     auto tick(time_point now, random_source& random, effects& out) -> void;
+    /// Takes the control replicas that changed settings name.
+    auto replace_seeds(std::vector<std::string> const& seeds, effects& out)
+        -> void;
     /// Jobs are taken for a while more, until balancers have noticed.
     auto stop(time_point now) -> void;
 
@@ -120,6 +123,10 @@
         -> std::vector<node_id>;
     auto carry_out(placed_job& job, plan&& wanted, effects& out) -> void;
     auto drop(plan const& unwanted) -> void;
+    /// What decided whether a job is taken, and where its tasks go.
+    [[nodiscard]] auto describe(time_point now, placed_job const& job,
+                                plan const& made, duration longest) const
+        -> log_line;
     [[nodiscard]] auto expected_run(job_queue const& queue,
                                     job_step const& step) const -> duration;
     /// Time from its arrival within which a job is of full use.
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -36,6 +36,27 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+auto ms_field(duration value) -> std::string
+{
+    return std::to_string(to_milliseconds(value));
+}
+
+auto seconds(duration value) -> double
+{
+    return std::chrono::duration<double>{value}.count();
+}
+
+auto node_field(node_id node) -> std::string
+{
+    return std::to_string(static_cast<std::uint64_t>(node));
+}
+
+auto count_run(run_outcome outcome) -> observe_metric
+{
+    return {"hickorylatch_runs_total",
+            {{"outcome", std::string{to_string(outcome)}}}};
+}
+
 auto run_field(std::string const& job, task_index task, std::uint32_t run)
     -> std::string
 {
@@ -74,7 +95,7 @@
                        effects& out) -> void
 {
     if (auto const* order = std::get_if<order_runs>(&incoming))
-        on(now, from, *order);
+        on(now, from, *order, out);
     else if (auto const* back = std::get_if<withdraw_runs>(&incoming))
         on(now, from, *back, out);
     else if (auto const* news = std::get_if<contact_confirmed>(&incoming))
@@ -92,7 +113,8 @@
     settle(now, out);
 }
 
-auto executor::on(time_point now, node_id from, order_runs const& order) -> void
+auto executor::on(time_point now, node_id from, order_runs const& order,
+                  effects& out) -> void
 {
     auto const found = m_contacts.find(from);
     if (found == m_contacts.end())
@@ -116,12 +138,12 @@
         run.m_queued_at = now;
         m_probe = each.m_needs;
         if (accepts(now) == acceptance::none)
-            report_end(run,
-                       m_is_stopping ? reason::draining : reason::no_capacity);
+            refuse(now, run,
+                   m_is_stopping ? reason::draining : reason::no_capacity, out);
         else if (entry.m_until <= now)
-            report_end(run, reason::lease_expired);
+            refuse(now, run, reason::lease_expired, out);
         else if (!m_worker->m_capacity.fits(run.m_needs))
-            report_end(run, reason::no_capacity);
+            refuse(now, run, reason::no_capacity, out);
         else
             m_queue.add(std::move(run));
     }
@@ -134,7 +156,7 @@
     {
         if (auto const waiting = m_queue.take(from, wanted))
         {
-            report_end(*waiting, reason::cancelled);
+            refuse(now, *waiting, reason::cancelled, out);
             continue;
         }
         auto const found = std::ranges::find_if(
@@ -269,7 +291,7 @@
                out);
     while (m_queue.size() != 0)
     {
-        report_end(m_queue.all().begin()->second, reason::no_capacity);
+        refuse(now, m_queue.all().begin()->second, reason::no_capacity, out);
         m_queue.erase(m_queue.all().begin());
     }
     m_is_load_due = true;
@@ -510,6 +532,7 @@
     run.m_needs = next.m_needs;
     run.m_expected = next.m_expected;
     run.m_number = next.m_ref.m_run;
+    run.m_queued_at = next.m_queued_at;
     auto const started = m_live.emplace(
         live_key{next.m_job->m_id, next.m_ref.m_task}, std::move(run));
     m_health.bound();
@@ -557,11 +580,12 @@
 auto executor::finish(time_point now, live_runs::iterator ended,
                       run_outcome outcome, reason why, effects& out) -> void
 {
-    static_cast<void>(out);
     auto const run = std::move(ended->second);
+    auto const [job, task] = ended->first;
     m_live.erase(ended);
     m_is_load_due = true;
     learn(now, run, outcome);
+    log_end(now, job, run, outcome, why, out);
     auto const contact = m_contacts.find(run.m_job->m_entry);
     if (contact == m_contacts.end())
         return;
@@ -574,6 +598,32 @@
     contact->second.m_new_ends.push_back(report);
 }
 
+auto executor::log_end(time_point now, std::string const& job,
+                       live_run const& run, run_outcome outcome, reason why,
+                       effects& out) const -> void
+{
+    out.emplace_back(
+        log_line{log_level::info,
+                 "run_ended",
+                 {{"run", run_field(job, run.m_ref.m_task, run.m_number)},
+                  {"entry", node_field(run.m_job->m_entry)},
+                  {"outcome", std::string{to_string(outcome)}},
+                  {"reason", std::string{to_string(why)}},
+                  {"hung", run.m_is_hung ? "yes" : "no"},
+                  {"queued_ms", ms_field(run.m_started_at - run.m_queued_at)},
+                  {"ran_ms", ms_field(now - run.m_started_at)},
+                  {"expected_ms", ms_field(run.m_expected)}}});
+    out.emplace_back(count_run(outcome));
+    if (outcome != run_outcome::succeeded)
+        return;
+    out.emplace_back(
+        observe_metric{"hickorylatch_run_wait_seconds",
+                       {},
+                       seconds(run.m_started_at - run.m_queued_at)});
+    out.emplace_back(observe_metric{
+        "hickorylatch_run_seconds", {}, seconds(now - run.m_started_at)});
+}
+
 auto executor::learn(time_point now, live_run const& ended, run_outcome outcome)
     -> void
 {
@@ -588,8 +638,19 @@
         m_health.released();
 }
 
-auto executor::report_end(waiting_run const& refused, reason why) -> void
+auto executor::refuse(time_point now, waiting_run const& refused, reason why,
+                      effects& out) -> void
 {
+    out.emplace_back(
+        log_line{log_level::info,
+                 "run_refused",
+                 {{"run", run_field(refused.m_job->m_id, refused.m_ref.m_task,
+                                    refused.m_ref.m_run)},
+                  {"entry", node_field(refused.m_job->m_entry)},
+                  {"reason", std::string{to_string(why)}},
+                  {"queued_ms", ms_field(now - refused.m_queued_at)},
+                  {"waiting", std::to_string(m_queue.size())}}});
+    out.emplace_back(count_run(run_outcome::refused));
     auto const contact = m_contacts.find(refused.m_job->m_entry);
     if (contact == m_contacts.end())
         return;
@@ -679,15 +740,14 @@
                 order_stop(now, live, out);
         }
         if (is_new && has_runs)
-            out.emplace_back(log_line{
-                log_level::warning,
-                "entry_contact_lost",
-                {{"entry", std::to_string(static_cast<std::uint64_t>(node))}}});
+            out.emplace_back(log_line{log_level::warning,
+                                      "entry_contact_lost",
+                                      {{"entry", node_field(node)}}});
         for (auto run = m_queue.all().begin(); run != m_queue.all().end();)
         {
             auto const is_its = run->second.m_job->m_entry == node;
             if (is_its)
-                report_end(run->second, reason::lease_expired);
+                refuse(now, run->second, reason::lease_expired, out);
             run = is_its ? m_queue.erase(run) : std::next(run);
         }
         if (!has_runs && !current->second.m_is_connected)
@@ -695,7 +755,7 @@
     }
 }
 
-auto executor::drop_late(time_point now) -> void
+auto executor::drop_late(time_point now, effects& out) -> void
 {
     for (auto run = m_queue.all().begin(); run != m_queue.all().end();)
     {
@@ -704,7 +764,7 @@
             now + waiting.m_expected > waiting.m_job->m_deadline;
         if (is_late)
         {
-            report_end(waiting, reason::deadline);
+            refuse(now, waiting, reason::deadline, out);
             m_is_load_due = true;
         }
         run = is_late ? m_queue.erase(run) : std::next(run);
@@ -713,7 +773,7 @@
 
 auto executor::settle(time_point now, effects& out) -> void
 {
-    drop_late(now);
+    drop_late(now, out);
     if (accepts(now) != acceptance::none)
         dispatch(now, out);
     poll(now, out);
@@ -847,13 +907,19 @@
     return {m_worker->m_name, m_token};
 }
 
+auto executor::replace_seeds(std::vector<std::string> const& seeds,
+                             effects& out) -> void
+{
+    m_links.replace_seeds(seeds, out);
+}
+
 auto executor::stop(time_point now, effects& out) -> void
 {
     m_is_stopping = true;
     m_is_load_due = true;
     while (m_queue.size() != 0)
     {
-        report_end(m_queue.all().begin()->second, reason::draining);
+        refuse(now, m_queue.all().begin()->second, reason::draining, out);
         m_queue.erase(m_queue.all().begin());
     }
     settle(now, out);
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -52,6 +52,9 @@
     auto answered(time_point now, runs_polled const& answer, effects& out)
         -> void;
     auto tick(time_point now, effects& out) -> void;
+    /// Takes the control replicas that changed settings name.
+    auto replace_seeds(std::vector<std::string> const& seeds, effects& out)
+        -> void;
     auto stop(time_point now, effects& out) -> void;
 
     /// True once a stop was asked for and nothing runs or waits.
@@ -80,6 +83,7 @@
         run_state m_state = run_state::starting;
         /// Run number that the worker knows.
         std::uint32_t m_number = 0;
+        time_point m_queued_at{0};
         time_point m_started_at{0};
         /// Lease of the start, by the worker's clock.
         std::int64_t m_lease_until_ms = 0;
@@ -115,7 +119,8 @@
     using live_key = std::pair<std::string, task_index>;
     using live_runs = std::map<live_key, live_run>;
 
-    auto on(time_point now, node_id from, order_runs const& order) -> void;
+    auto on(time_point now, node_id from, order_runs const& order, effects& out)
+        -> void;
     auto on(time_point now, node_id from, withdraw_runs const& order,
             effects& out) -> void;
     auto on(time_point now, node_id from, contact_confirmed const& news,
@@ -133,7 +138,11 @@
         -> void;
     auto finish(time_point now, live_runs::iterator ended, run_outcome outcome,
                 reason why, effects& out) -> void;
-    auto report_end(waiting_run const& refused, reason why) -> void;
+    /// Tells the entry that a run which waited was not started.
+    auto refuse(time_point now, waiting_run const& refused, reason why,
+                effects& out) -> void;
+    auto log_end(time_point now, std::string const& job, live_run const& run,
+                 run_outcome outcome, reason why, effects& out) const -> void;
     auto learn(time_point now, live_run const& ended, run_outcome outcome)
         -> void;
     auto take_end(time_point now, ended_run const& ended, effects& out) -> void;
@@ -150,7 +159,7 @@
     auto poll(time_point now, effects& out) -> void;
     auto check_runs(time_point now, effects& out) -> void;
     auto check_contacts(time_point now, effects& out) -> void;
-    auto drop_late(time_point now) -> void;
+    auto drop_late(time_point now, effects& out) -> void;
     /// Orders, polls and messages that the events so far call for.
     auto settle(time_point now, effects& out) -> void;
     auto send_ends(effects& out) -> void;
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -212,6 +212,20 @@
     return m_workers.contains(agent);
 }
 
+auto worker_directory::worker_name(node_id agent) const -> std::string_view
+{
+    auto const found = m_workers.find(agent);
+    return found == m_workers.end()
+               ? std::string_view{}
+               : std::string_view{found->second.m_news.m_worker.m_name};
+}
+
+auto worker_directory::load_age(time_point now, node_id agent) const -> duration
+{
+    auto const found = m_workers.find(agent);
+    return found == m_workers.end() ? duration{0} : now - found->second.m_heard;
+}
+
 auto worker_directory::size() const -> std::size_t
 {
     return m_workers.size();
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -78,6 +78,11 @@
     /// Number of the last order on the present link; 0 if there is none.
     [[nodiscard]] auto last_order(node_id agent) const -> std::uint64_t;
     [[nodiscard]] auto is_connected(node_id agent) const -> bool;
+    /// Name of the agent's worker; empty if it is not known.
+    [[nodiscard]] auto worker_name(node_id agent) const -> std::string_view;
+    /// Time since the agent's last load; 0 if it is not known.
+    [[nodiscard]] auto load_age(time_point now, node_id agent) const
+        -> duration;
     [[nodiscard]] auto size() const -> std::size_t;
 
 private:
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -296,6 +296,12 @@
                        static_cast<double>(m_state.config().m_version)});
 }
 
+auto control::replace_seeds(std::vector<std::string> const& seeds, effects& out)
+    -> void
+{
+    m_links.replace_seeds(seeds, out);
+}
+
 auto control::stop(time_point now, random_source& random, effects& out) -> void
 {
     m_replica.hand_over(now, out);
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -50,6 +50,9 @@
                 effects& out) -> void;
     auto saved(snapshot_saved const& done) -> void;
     auto clock(time_point now, clock_read const& reading, effects& out) -> void;
+    /// Takes the control replicas that changed settings name.
+    auto replace_seeds(std::vector<std::string> const& seeds, effects& out)
+        -> void;
     /// Hands leadership over before this process ends.
     auto stop(time_point now, random_source& random, effects& out) -> void;
     auto tick(time_point now, random_source& random, effects& out) -> void;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -197,6 +197,16 @@
             m_node.m_executor->answered(m_now, event, m_out);
     }
 
+    auto operator()(seeds_changed const& event) -> void
+    {
+        if (m_node.m_broker)
+            m_node.m_broker->replace_seeds(event.m_seeds, m_out);
+        if (m_node.m_executor)
+            m_node.m_executor->replace_seeds(event.m_seeds, m_out);
+        if (m_node.m_control)
+            m_node.m_control->replace_seeds(event.m_seeds, m_out);
+    }
+
 private:
     node& m_node;
     time_point m_now;
--- a/src/observe/logger.cpp
+++ b/src/observe/logger.cpp
@@ -1,19 +1,23 @@
 #include "observe/logger.hpp"
 
 #include "core/model/utf8.hpp"
+#include "observe/log_budget.hpp"
+#include "observe/nonblocking_appender.hpp"
 
 #include <boost/locale/utf.hpp>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/hierarchy.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <fstream>
 #include <system_error>
 #include <utility>
@@ -113,20 +117,16 @@
     return printed += '"';
 }
 
-auto make_appender(std::string const& file) -> log4cplus::SharedAppenderPtr
+auto make_layout() -> std::unique_ptr<log4cplus::Layout>
 {
-    constexpr auto to_standard_error = false;
-    constexpr auto flush_each_line = true;
-    auto appender = log4cplus::SharedAppenderPtr{};
-    if (file.empty())
-        appender =
-            new log4cplus::ConsoleAppender{to_standard_error, flush_each_line};
-    else
-        appender = new log4cplus::FileAppender{file, std::ios_base::app,
-                                               flush_each_line};
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
-    return appender;
+    return std::make_unique<log4cplus::PatternLayout>(
+        "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n");
+}
+
+auto steady_now() -> core::time_point
+{
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::steady_clock::now().time_since_epoch());
 }
 
 } // namespace
@@ -135,6 +135,9 @@
 {
     log4cplus::Hierarchy m_hierarchy;
     log4cplus::Logger m_logger = m_hierarchy.getInstance("hickorylatch");
+    log_budget m_budget;
+    /// Null if lines go to a file.
+    nonblocking_appender* m_output = nullptr;
 };
 
 logger::logger(std::unique_ptr<state> opened) : m_state(std::move(opened))
@@ -162,7 +165,13 @@
     // after the first one's end throws.
     static auto const initializer = log4cplus::Initializer{};
     auto opened = std::make_unique<state>();
-    opened->m_logger.addAppender(make_appender(name));
+    auto appender = log4cplus::SharedAppenderPtr{};
+    if (name.empty())
+        appender = opened->m_output = new nonblocking_appender{STDOUT_FILENO};
+    else
+        appender = new log4cplus::FileAppender{name, std::ios_base::app, true};
+    appender->setLayout(make_layout());
+    opened->m_logger.addAppender(appender);
     opened->m_logger.setLogLevel(to_log4cplus(lowest));
     return logger{std::move(opened)};
 }
@@ -170,8 +179,19 @@
 auto logger::write(core::log_line const& line) -> void
 {
     auto const level = to_log4cplus(line.m_level);
-    if (m_state->m_logger.isEnabledFor(level))
-        m_state->m_logger.forcedLog(level, print_log_line(line));
+    auto& [hierarchy, target, budget, output] = *m_state;
+    if (!target.isEnabledFor(level) || !budget.take(steady_now(), line.m_level))
+        return;
+    auto const suppressed = budget.take_suppressed();
+    auto const dropped = output == nullptr ? 0 : output->take_dropped();
+    if (suppressed != 0 || dropped != 0)
+        target.forcedLog(
+            log4cplus::WARN_LOG_LEVEL,
+            print_log_line({core::log_level::warning,
+                            "log_lines_left_out",
+                            {{"over_budget", std::to_string(suppressed)},
+                             {"output_full", std::to_string(dropped)}}}));
+    target.forcedLog(level, print_log_line(line));
 }
 
 auto print_log_line(core::log_line const& line) -> std::string
--- a/src/observe/logger.hpp
+++ b/src/observe/logger.hpp
@@ -14,7 +14,9 @@
 {
 
 /// Writes log lines to standard output or a file, each as one line of
-/// key=value pairs: time (UTC), level, event, then the fields.
+/// key=value pairs: time (UTC), level, event, then the fields. Bounds their
+/// volume, and drops lines for standard output while its reader is behind; the
+/// next line that is written tells how many were left out.
 class logger
 {
 public:
@@ -28,7 +30,7 @@
     auto operator=(logger&&) noexcept -> logger&;
     ~logger();
 
-    /// Writes the line and flushes it.
+    /// Writes the line and flushes it. Does not wait for a reader.
     auto write(core::log_line const& line) -> void;
 
 private:
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -3,17 +3,18 @@
 #include "net/error.hpp"
 #include "platform/clients_api.hpp"
 #include "platform/operators_api.hpp"
+#include "platform/settings_reload.hpp"
+#include "platform/settings_source.hpp"
 #include "platform/worker_api.hpp"
 #include "process/process.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace hickorylatch::platform
 {
@@ -26,23 +27,20 @@
 /// Environment variable that names the platform's settings file.
 constexpr auto settings_variable = "HICKORYLATCH_BOOT";
 
-auto read_settings_file() -> leaf::result<host_settings>
+auto find_settings_file() -> leaf::result<std::string>
 {
     auto const* const name = std::getenv(settings_variable);
     if (name == nullptr)
         return leaf::new_error(settings_error{std::string{settings_variable} +
                                               " names no settings file"});
-    auto file = std::ifstream{name};
-    auto const text = std::string{std::istreambuf_iterator<char>{file}, {}};
-    if (!file)
-        return leaf::new_error(
-            settings_error{std::string{name} + " can't be read"});
-    return parse_host_settings(text);
+    return std::string{name};
 }
 
 auto run(duty wanted) -> leaf::result<int>
 {
-    BOOST_LEAF_AUTO(host, read_settings_file());
+    BOOST_LEAF_AUTO(file, find_settings_file());
+    auto source = settings_source{std::move(file)};
+    BOOST_LEAF_AUTO(host, source.read());
     BOOST_LEAF_AUTO(settings, to_process_settings(host, wanted));
     BOOST_LEAF_AUTO(opened, process::process::open(std::move(settings)));
     auto clients = std::unique_ptr<clients_api>{};
@@ -65,6 +63,7 @@
                           worker_api::open(*opened, host.m_control_address,
                                            host.m_worker_address));
     }
+    auto const reload = settings_reload{*opened, std::move(source), host};
     return opened->run();
 }
 
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -114,15 +114,21 @@
     }
 }
 
+auto seed_links(host_settings const& host) -> std::vector<std::string>
+{
+    auto links = std::vector<std::string>{};
+    for (auto const& seed : host.m_seeds)
+        links.push_back(to_link_address(seed, host.m_first_port));
+    return links;
+}
+
 auto to_process_settings(host_settings const& host, duty wanted)
     -> boost::leaf::result<settings::settings>
 {
     auto out = settings::settings{};
     out.m_name = host.m_name;
     out.m_failure_domain = host.m_failure_domain;
-    for (auto const& seed : host.m_seeds)
-        out.m_control_addresses.push_back(
-            to_link_address(seed, host.m_first_port));
+    out.m_control_addresses = seed_links(host);
     if (wanted == duty::entry)
     {
         if (host.m_clients_address.empty() || host.m_readiness_address.empty())
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -52,6 +52,8 @@
     /// How much longer a task runs away from its data ("spreadFactor").
     double m_spread_factor = 1.0;
     std::uint32_t m_memory_mb = 0;
+
+    auto operator==(host_settings const&) const -> bool = default;
 };
 
 /// Why settings can't be used. Carried as a LEAF error object.
@@ -65,6 +67,10 @@
 [[nodiscard]] auto parse_host_settings(std::string_view text)
     -> boost::leaf::result<host_settings>;
 
+/// Addresses where the control processes of the seeds accept links.
+[[nodiscard]] auto seed_links(host_settings const& host)
+    -> std::vector<std::string>;
+
 /// Settings of the `process` that carries out a duty with these settings.
 /// Errors: `settings_error` if a field that the duty needs is missing.
 [[nodiscard]] auto to_process_settings(host_settings const& host, duty wanted)
--- a/tests/core/roles/test_broker_node.cpp
+++ b/tests/core/roles/test_broker_node.cpp
@@ -68,3 +68,25 @@
     BOOST_TEST(answers(out) == 1);
     BOOST_TEST(!has_exit(out));
 }
+
+// Guards against a process that goes on looking for seeds that were exchanged
+// while all of them were away.
+BOOST_AUTO_TEST_CASE(changed_seeds_are_linked_to)
+{
+    auto node = core::node{};
+    node.m_id = core::node_id{1};
+    node.m_broker.emplace(core::broker_settings{{"10.0.0.1:1"}});
+    auto out = core::effects{};
+    core::reduce(node, seconds{1}, core::started{7}, out);
+    core::reduce(node, seconds{2}, core::seeds_changed{{"10.0.0.2:1"}}, out);
+    auto const links = std::ranges::find_if(
+        out,
+        [](core::effect const& each)
+        {
+            return std::holds_alternative<core::keep_links>(each);
+        });
+    BOOST_REQUIRE(links != out.end());
+    BOOST_TEST(std::get<core::keep_links>(*links).m_addresses ==
+                   std::vector<std::string>{"10.0.0.2:1"},
+               boost::test_tools::per_element());
+}
--- a/tests/observe/test_logger.cpp
+++ b/tests/observe/test_logger.cpp
@@ -1,10 +1,20 @@
 #include "observe/logger.hpp"
 
+#include "observe/log_budget.hpp"
+#include "observe/nonblocking_appender.hpp"
+
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <log4cplus/hierarchy.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -81,3 +91,55 @@
         });
     BOOST_TEST(failed == "/no/such/x");
 }
+
+// Guards against a log that grows with the load until writing it is the load,
+// and against warnings that are lost among lines of progress.
+BOOST_AUTO_TEST_CASE(lines_over_the_budget_are_left_out_and_warnings_last)
+{
+    using std::chrono::seconds;
+    auto budget = log_budget{
+        {.m_lines_per_second = 10.0, .m_burst = 30.0, .m_reserve = 10.0}};
+    auto const take = [&](core::time_point now, core::log_level level)
+    {
+        auto taken = 0;
+        for (auto line = 0; line < 100; ++line)
+            taken += budget.take(now, level) ? 1 : 0;
+        return taken;
+    };
+    BOOST_TEST(take(seconds{1}, core::log_level::info) == 20);
+    BOOST_TEST(take(seconds{1}, core::log_level::warning) == 10);
+    BOOST_TEST(budget.take_suppressed() == 170U);
+    BOOST_TEST(budget.take_suppressed() == 0U);
+    BOOST_TEST(take(seconds{2}, core::log_level::info) == 0);
+    BOOST_TEST(take(seconds{3}, core::log_level::info) == 10);
+    // A long pause gives one burst, not more.
+    BOOST_TEST(take(seconds{1'000}, core::log_level::error) == 30);
+}
+
+// Guards against a process that stands still because nobody reads its log.
+BOOST_AUTO_TEST_CASE(a_full_pipe_takes_no_line_and_no_time)
+{
+    auto ends = std::array<int, 2>{};
+    BOOST_REQUIRE(::pipe(ends.data()) == 0);
+    auto const appender =
+        log4cplus::helpers::SharedObjectPtr<nonblocking_appender>{
+            new nonblocking_appender{ends[1]}};
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    auto hierarchy = log4cplus::Hierarchy{};
+    auto target = hierarchy.getInstance("pipe");
+    target.addAppender(log4cplus::SharedAppenderPtr{appender.get()});
+    auto const line = std::string(999, 'x');
+    for (auto count = 0; count < 200; ++count)
+        target.forcedLog(log4cplus::INFO_LOG_LEVEL, line);
+    auto const dropped = appender->take_dropped();
+    BOOST_TEST(dropped > 0U);
+    auto read = std::size_t{0};
+    auto bytes = std::array<char, 4'096>{};
+    ::close(ends[1]);
+    for (auto size = ssize_t{1}; size > 0; read += std::size_t(size))
+        size =
+            std::max(::read(ends[0], bytes.data(), bytes.size()), ssize_t{0});
+    ::close(ends[0]);
+    BOOST_TEST(read == (200 - dropped) * 1'000);
+    hierarchy.shutdown();
+}
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -1,8 +1,13 @@
 #include "platform/parsed.hpp"
 #include "platform/settings.hpp"
+#include "platform/settings_source.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace platform = hickorylatch::platform;
@@ -88,3 +93,42 @@
     host.m_clients_address.clear();
     BOOST_TEST(!convert(host, platform::duty::entry).m_value);
 }
+
+// Guards against seeds that were exchanged while the process ran, without a
+// signal, and against a file that is read while it is written.
+BOOST_AUTO_TEST_CASE(a_settings_file_that_changed_is_read_once)
+{
+    auto const file = std::filesystem::temp_directory_path() /
+                      ("hickorylatch-host-" + std::to_string(getpid()));
+    auto const write = [&](std::string const& text)
+    {
+        std::ofstream{file} << text;
+    };
+    auto source = platform::settings_source{file.string()};
+    auto const change = [&]
+    {
+        return try_parse(
+            [&]
+            {
+                return source.read_change();
+            });
+    };
+    write(example);
+    BOOST_TEST(try_parse(
+                   [&]
+                   {
+                       return source.read();
+                   })
+                   .m_value.has_value());
+    BOOST_TEST(!change().m_value.value().has_value());
+    write(example.substr(0, 40));
+    BOOST_TEST(!change().m_value.has_value());
+    BOOST_TEST(!change().m_value.value().has_value());
+    auto other = example;
+    other.replace(other.find("10.2.0.30"), 9, "10.3.0.36");
+    write(other);
+    auto const changed = change().m_value.value();
+    BOOST_REQUIRE(changed.has_value());
+    BOOST_TEST(platform::seed_links(*changed).back() == "10.3.0.36:7720");
+    std::filesystem::remove(file);
+}
