Vote with twice the tolerated losses and one, and wait for space on a full disk

Where that takes in a machine without a disk, its process follows the log in memory, passes operators' calls on and never votes or founds.

Writes now wait for space, which holds up that replica's acknowledgements and nothing else.

--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -44,10 +44,14 @@
     /// It serves by the newest configuration it has heard of, from whichever
     /// replica, and needs no leader to do so.
     bool m_follows_any_replica = false;
+    /// A control replica whose state ends with its process: it takes part as a
+    /// learner and never votes.
+    bool m_is_volatile = false;
 };
 BOOST_DESCRIBE_STRUCT(hello, (),
                       (m_node, m_role, m_name, m_address, m_cluster, m_secret,
-                       m_needs_configuration, m_follows_any_replica))
+                       m_needs_configuration, m_follows_any_replica,
+                       m_is_volatile))
 
 // Entry and control leader.
 
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -21,8 +21,8 @@
                  std::string address, group_settings const& group)
     : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
       m_address{std::move(address)}, m_keeper{group},
-      m_has_group_settings{!group.m_seeds.empty()}, m_links{group.m_seeds,
-                                                            false}
+      m_has_group_settings{!group.m_seeds.empty()},
+      m_is_volatile{group.m_is_volatile}, m_links{group.m_seeds, false}
 {
     m_applied = m_snapshot = recovered.m_snapshot.m_last_index;
     if (auto image = m_codec.m_decode(recovered.m_snapshot.m_data))
@@ -347,6 +347,7 @@
         auto self = hello{};
         self.m_node = m_replica.identity();
         self.m_address = m_address;
+        self.m_is_volatile = m_is_volatile;
         auto const founders = m_keeper.founders(self);
         if (!founders)
             return;
@@ -525,6 +526,11 @@
     return m_replica.cluster();
 }
 
+auto control::is_volatile() const -> bool
+{
+    return m_is_volatile;
+}
+
 auto control::is_leading(time_point now) const -> bool
 {
     return m_coordinator.has_value() && m_replica.has_quorum(now);
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -61,6 +61,8 @@
     /// Where other processes connect.
     [[nodiscard]] auto address() const -> std::string const&;
     [[nodiscard]] auto cluster() const -> std::uint64_t;
+    /// True if the state ends with this process.
+    [[nodiscard]] auto is_volatile() const -> bool;
     [[nodiscard]] auto is_leading(time_point now) const -> bool;
     [[nodiscard]] auto next_deadline(time_point now) const -> time_point;
     [[nodiscard]] auto state() const -> control_state const&;
@@ -117,6 +119,7 @@
     pending_operations m_pending;
     membership_keeper m_keeper;
     bool m_has_group_settings = false;
+    bool m_is_volatile = false;
     std::uint64_t m_membership_changes = 0;
     /// Where entries accept links, and when each was last connected; `never`
     /// while it is.
--- a/src/core/roles/membership_keeper.cpp
+++ b/src/core/roles/membership_keeper.cpp
@@ -3,6 +3,8 @@
 #include "core/replication/membership.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace hickorylatch::core
@@ -51,16 +53,27 @@
     -> std::optional<std::vector<member>>
 {
     auto const& seeds = m_settings.m_seeds;
-    // The first of the seeds founds, so that only one group can arise.
-    if (!m_settings.m_is_first_start || seeds.empty() ||
-        self.m_address != std::ranges::min(seeds))
+    if (!m_settings.m_is_first_start || seeds.empty())
         return std::nullopt;
-    auto founders = std::vector<member>{{self.m_node, self.m_address, true}};
+    auto seen = std::set<std::string_view>{};
+    auto founders = std::vector<member>{};
+    auto const note = [&](hello const& seed)
+    {
+        if (seed.m_cluster != 0 ||
+            std::ranges::find(seeds, seed.m_address) == seeds.end() ||
+            !seen.insert(seed.m_address).second)
+            return;
+        if (!seed.m_is_volatile)
+            founders.push_back({seed.m_node, seed.m_address, true});
+    };
+    note(self);
     for (auto const& [node, peer] : m_peers)
-        if (peer.m_cluster == 0 &&
-            std::ranges::find(seeds, peer.m_address) != seeds.end())
-            founders.push_back({node, peer.m_address, true});
-    if (founders.size() != seeds.size())
+        note(peer);
+    // The first of the seeds with a disk founds, and only once it knows all of
+    // them, so that only one group can arise.
+    if (seen.size() != seeds.size() || founders.empty() ||
+        self.m_address !=
+            std::ranges::min(founders, {}, &member::m_address).m_address)
         return std::nullopt;
     return founders;
 }
@@ -82,6 +95,12 @@
     return m_peers.contains(node);
 }
 
+auto membership_keeper::may_vote(node_id node) const -> bool
+{
+    auto const found = m_peers.find(node);
+    return found != m_peers.end() && !found->second.m_is_volatile;
+}
+
 auto membership_keeper::is_lost(time_point now, node_id node,
                                 duration limit) const -> bool
 {
--- a/src/core/roles/membership_keeper.hpp
+++ b/src/core/roles/membership_keeper.hpp
@@ -46,6 +46,8 @@
 
 private:
     [[nodiscard]] auto is_connected(node_id node) const -> bool;
+    /// True for a connected replica that keeps its state.
+    [[nodiscard]] auto may_vote(node_id node) const -> bool;
     [[nodiscard]] auto is_lost(time_point now, node_id node,
                                duration limit) const -> bool;
     [[nodiscard]] auto is_replaced(member const& old) const -> bool;
@@ -82,8 +84,7 @@
     for (auto& each : changed)
     {
         voters += each.m_votes ? 1 : 0;
-        if (!each.m_votes && is_connected(each.m_node) &&
-            holds_state(each.m_node))
+        if (!each.m_votes && may_vote(each.m_node) && holds_state(each.m_node))
             spare = &each;
     }
     if (spare != nullptr && voters < m_settings.m_voters)
--- a/src/process/durable_log.cpp
+++ b/src/process/durable_log.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-durable_log::durable_log(net::event_loop& loop, storage::data_folder folder)
-    : m_loop{loop}, m_folder{std::move(folder)},
+durable_log::durable_log(net::event_loop& loop, storage::data_folder folder,
+                         std::shared_ptr<storage::space_waiter> space)
+    : m_loop{loop}, m_folder{std::move(folder)}, m_space{std::move(space)},
       m_worker{loop,
                [this](std::span<job> batch)
                {
@@ -49,6 +50,17 @@
 {
 }
 
+durable_log::~durable_log()
+{
+    m_space->stop();
+}
+
+auto durable_log::take_waited_for_space() -> bool
+{
+    auto const pauses = m_space->pauses();
+    return std::exchange(m_pauses, pauses) != pauses;
+}
+
 auto durable_log::append(core::append_log write) -> void
 {
     m_worker.enqueue({std::move(write), {}, {}});
--- a/src/process/durable_log.hpp
+++ b/src/process/durable_log.hpp
@@ -5,10 +5,12 @@
 #include "core/replication/replica.hpp"
 #include "net/storage_worker.hpp"
 #include "storage/data_folder.hpp"
+#include "storage/space_waiter.hpp"
 
 #include <boost/leaf/result.hpp>
 #include <sigc++/signal.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -24,10 +26,18 @@
 class durable_log
 {
 public:
-    durable_log(net::event_loop& loop, storage::data_folder folder);
+    /// `space` is the one that the folder waits with.
+    durable_log(net::event_loop& loop, storage::data_folder folder,
+                std::shared_ptr<storage::space_waiter> space);
+    durable_log(durable_log const&) = delete;
+    auto operator=(durable_log const&) -> durable_log& = delete;
+    /// Waits for what was queued, but not for space on a full disk.
+    ~durable_log();
 
     auto append(core::append_log write) -> void;
     auto save(core::snapshot value) -> void;
+    /// True if a write waited for space since the last call.
+    auto take_waited_for_space() -> bool;
 
     auto log_synced() -> sigc::signal<void(core::log_synced const&)>&;
     auto snapshot_saved() -> sigc::signal<void(core::snapshot_saved const&)>&;
@@ -50,6 +60,8 @@
 
     net::event_loop& m_loop;
     storage::data_folder m_folder;
+    std::shared_ptr<storage::space_waiter> m_space;
+    std::uint64_t m_pauses = 0;
     sigc::signal<void(core::log_synced const&)> m_log_synced;
     sigc::signal<void(core::snapshot_saved const&)> m_snapshot_saved;
     sigc::signal<void(core::duration)> m_sync_measured;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -174,13 +174,13 @@
 auto process::open_control() -> boost::leaf::result<void>
 {
     auto const& wanted = *m_settings.m_control;
-    auto options = storage::storage_options{};
-    options.m_fsync = wanted.m_fsync;
-    options.m_segment_bytes = wanted.m_segment_bytes;
-    BOOST_LEAF_AUTO(opened, storage::data_folder::open(wanted.m_data_folder,
-                                                       std::move(options)));
-    for (auto const& warning : opened.m_warnings)
-        m_log.write(warning);
+    auto recovered = core::recovered_state{};
+    if (wanted.m_group.m_is_volatile)
+        recovered.m_identity = m_node.m_id;
+    else
+    {
+        BOOST_LEAF_ASSIGN(recovered, open_disk());
+    }
     auto limits = core::control_settings{};
     limits.m_key_retention_ms =
         core::unix_milliseconds{wanted.m_key_retention_hours} * 3'600'000;
@@ -194,16 +194,31 @@
         replication.m_first_election_minimum = first_election_minimum;
         replication.m_first_election_maximum = first_election_maximum;
     }
-    m_node.m_id = opened.m_recovered.m_identity;
+    m_node.m_id = recovered.m_identity;
     m_node.m_address = wanted.m_listen_address;
-    m_node.m_control.emplace(limits, replication, std::move(opened.m_recovered),
+    m_node.m_control.emplace(limits, replication, std::move(recovered),
                              core::image_codec{encode_image, decode_image},
                              wanted.m_listen_address, wanted.m_group);
-    m_durable =
-        std::make_unique<durable_log>(m_loop, std::move(opened.m_folder));
     return {};
 }
 
+auto process::open_disk() -> boost::leaf::result<core::recovered_state>
+{
+    auto const& wanted = *m_settings.m_control;
+    auto options = storage::storage_options{};
+    options.m_fsync = wanted.m_fsync;
+    options.m_segment_bytes = wanted.m_segment_bytes;
+    auto const space = std::make_shared<storage::space_waiter>();
+    options.m_space = space;
+    BOOST_LEAF_AUTO(opened, storage::data_folder::open(wanted.m_data_folder,
+                                                       std::move(options)));
+    for (auto const& warning : opened.m_warnings)
+        m_log.write(warning);
+    m_durable = std::make_unique<durable_log>(
+        m_loop, std::move(opened.m_folder), space);
+    return std::move(opened.m_recovered);
+}
+
 auto process::open_agent() -> boost::leaf::result<void>
 {
     auto const& wanted = *m_settings.m_agent;
@@ -364,8 +379,7 @@
     m_durable->snapshot_saved().connect(
         [this](core::snapshot_saved const& done)
         {
-            feed(done);
-            m_links->set_cluster(m_node.m_control->cluster());
+            snapshot_saved(done);
         });
     m_durable->sync_measured().connect(
         [this](core::duration spent)
@@ -430,11 +444,26 @@
                            {},
                            static_cast<double>(held->config().m_version)});
     }
+    if (m_durable)
+        watch_disk();
     if (m_spans)
         m_spans->flush();
     m_clock.start(clock_interval);
 }
 
+auto process::watch_disk() -> void
+{
+    auto const is_full = m_durable->take_waited_for_space();
+    if (is_full == std::exchange(m_is_disk_full, is_full))
+        return;
+    if (is_full)
+        m_log.write({core::log_level::error,
+                     "disk_full",
+                     {{"folder", m_settings.m_control->m_data_folder}}});
+    else
+        m_log.write({core::log_level::info, "disk_has_space", {}});
+}
+
 auto process::finish_when_flushed() -> void
 {
     // An exchange ends when its answer is queued; the server stays busy until
@@ -474,12 +503,31 @@
 
 auto process::carry_out(core::append_log& wanted) -> void
 {
-    m_durable->append(std::move(wanted));
+    if (m_durable)
+        return m_durable->append(std::move(wanted));
+    // A volatile replica holds its log in memory only.
+    m_loop.post(
+        [this, done = core::log_synced{wanted.m_write}]
+        {
+            feed(done);
+        });
 }
 
 auto process::carry_out(core::save_snapshot& wanted) -> void
 {
-    m_durable->save(std::move(wanted.m_snapshot));
+    if (m_durable)
+        return m_durable->save(std::move(wanted.m_snapshot));
+    m_loop.post(
+        [this, done = core::snapshot_saved{wanted.m_snapshot.m_last_index}]
+        {
+            snapshot_saved(done);
+        });
+}
+
+auto process::snapshot_saved(core::snapshot_saved const& done) -> void
+{
+    feed(done);
+    m_links->set_cluster(m_node.m_control->cluster());
 }
 
 auto process::carry_out(core::start_call& wanted) -> void
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -91,6 +91,8 @@
     process(settings::settings wanted, observe::logger log);
 
     [[nodiscard]] auto open_control() -> boost::leaf::result<void>;
+    [[nodiscard]] auto open_disk()
+        -> boost::leaf::result<core::recovered_state>;
     [[nodiscard]] auto open_agent() -> boost::leaf::result<void>;
     auto open_placement() -> void;
     [[nodiscard]] auto open_links() -> boost::leaf::result<void>;
@@ -144,7 +146,10 @@
                 std::uint16_t status, std::string_view text) -> void;
     auto answer(core::exchange_id exchange, net::http_answer const& answer)
         -> void;
+    auto snapshot_saved(core::snapshot_saved const& done) -> void;
     auto read_clock() -> void;
+    /// Logs when the disk turns full and when it has space again.
+    auto watch_disk() -> void;
     auto finish_when_flushed() -> void;
     auto stop_accepting() -> void;
     [[nodiscard]] auto current_config() const -> core::configuration const&;
@@ -157,6 +162,7 @@
     net::process_signals m_signals;
     core::node m_node;
     std::unique_ptr<net::peer_links> m_links;
+    /// Null unless this is a control replica with a disk.
     std::unique_ptr<durable_log> m_durable;
     std::unique_ptr<agent_calls> m_calls;
     std::vector<std::unique_ptr<net::http_server>> m_servers;
@@ -171,6 +177,7 @@
     sigc::signal<void(core::start_run const&)> m_run_start_wanted;
     sigc::signal<void(core::stop_run const&)> m_run_stop_wanted;
     sigc::signal<void(core::poll_runs const&)> m_poll_wanted;
+    bool m_is_disk_full = false;
     int m_exit_code = 0;
     unsigned m_flush_rounds = 0;
 };
--- a/src/storage/file.hpp
+++ b/src/storage/file.hpp
@@ -29,14 +29,17 @@
     [[nodiscard]] static auto open(std::filesystem::path path, int flags)
         -> boost::leaf::result<file>;
 
-    /// Writes all bytes at the offset.
-    [[nodiscard]] auto write(std::uint64_t offset, std::string_view bytes)
+    /// Writes all bytes at the offset. Waits while the disk is full, if the
+    /// options say so.
+    [[nodiscard]] auto write(std::uint64_t offset, std::string_view bytes,
+                             storage_options const& options)
         -> boost::leaf::result<void>;
     [[nodiscard]] auto truncate(std::uint64_t size)
         -> boost::leaf::result<void>;
     /// Extends the file with zeros to at least this size, if the file system
-    /// can reserve space.
-    [[nodiscard]] auto preallocate(std::uint64_t size)
+    /// can reserve space. Waits like `write`.
+    [[nodiscard]] auto preallocate(std::uint64_t size,
+                                   storage_options const& options)
         -> boost::leaf::result<void>;
     /// Makes the contents and the size durable. After a failure the state of
     /// the file is unknown: the kernel may have dropped the pages, so a retry
--- a/src/storage/storage_options.hpp
+++ b/src/storage/storage_options.hpp
@@ -1,9 +1,12 @@
 #ifndef HICKORYLATCH_STORAGE_STORAGE_OPTIONS_HPP
 #define HICKORYLATCH_STORAGE_STORAGE_OPTIONS_HPP
 
+#include "storage/space_waiter.hpp"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 
 namespace hickorylatch::storage
 {
@@ -25,6 +28,11 @@
     /// Replaces the system call that syncs a file descriptor; returns 0 or -1
     /// with `errno`. For tests of failing disks.
     std::function<auto(int)->int> m_sync;
+    /// Asked before each write; returns 0 or an error number that the write
+    /// fails with. For tests of failing disks.
+    std::function<auto()->int> m_write_error;
+    /// Holds up writes to a full disk; without it they fail.
+    std::shared_ptr<space_waiter> m_space;
 };
 
 } // namespace hickorylatch::storage
--- a/tests/core/roles/test_membership_keeper.cpp
+++ b/tests/core/roles/test_membership_keeper.cpp
@@ -65,6 +65,34 @@
     BOOST_TEST(!keeper.founders(replica(2, "b:1")));
 }
 
+// Guards against a group whose state is lost with a VM without a disk: such a
+// seed neither founds nor votes, and the others still agree on who founds.
+BOOST_AUTO_TEST_CASE(a_seed_without_a_disk_neither_founds_nor_votes)
+{
+    auto diskless = replica(1, "a:1");
+    diskless.m_is_volatile = true;
+    auto second = core::membership_keeper{settings()};
+    second.connected(replica(3, "c:1"));
+    BOOST_TEST(!second.founders(replica(2, "b:1")));
+    second.connected(diskless);
+    auto const founded = second.founders(replica(2, "b:1"));
+    BOOST_REQUIRE(founded);
+    BOOST_TEST(founded->size() == 2U);
+    BOOST_TEST(!lists(*founded, 1));
+    auto first = core::membership_keeper{settings()};
+    first.connected(replica(2, "b:1"));
+    first.connected(replica(3, "c:1"));
+    BOOST_TEST(!first.founders(diskless));
+    // It joins the group that the others found, as a learner for good.
+    auto const joined =
+        second.next_change(seconds{1}, *founded, core::node_id{2}, holds_state);
+    BOOST_REQUIRE(joined);
+    BOOST_TEST(lists(*joined, 1));
+    BOOST_TEST(!votes(*joined, 1));
+    BOOST_TEST(!second.next_change(seconds{1}, *joined, core::node_id{2},
+                                   holds_state));
+}
+
 // Guards against a second group on a wiped disk of the first seed.
 BOOST_AUTO_TEST_CASE(nobody_founds_after_the_first_start)
 {
--- a/tests/storage/test_data_folder.cpp
+++ b/tests/storage/test_data_folder.cpp
@@ -135,6 +135,40 @@
     BOOST_TEST(!opened.m_value->m_folder.save(sample_snapshot(0, 0)));
 }
 
+// Guards against a replica that ends when its disk is full, or that goes on
+// with a hole in its log once there is space again.
+BOOST_AUTO_TEST_CASE(a_write_waits_for_space_on_a_full_disk)
+{
+    auto const scratch = scratch_folder{};
+    auto refusals = 0;
+    auto options = storage::storage_options{};
+    options.m_space = std::make_shared<storage::space_waiter>();
+    options.m_write_error = [&]
+    {
+        return refusals > 0 && refusals-- > 0 ? ENOSPC : 0;
+    };
+    {
+        auto opened = open_folder(scratch.path(), options);
+        BOOST_REQUIRE_MESSAGE(opened.m_value, opened.m_error);
+        refusals = 2;
+        auto const first = std::vector{sample_write(1, 2, 1)};
+        BOOST_TEST(!!opened.m_value->m_folder.apply(first));
+        BOOST_TEST(options.m_space->pauses() == 2U);
+        refusals = 1;
+        BOOST_TEST(!!opened.m_value->m_folder.save(sample_snapshot(1, 1)));
+        BOOST_TEST(!!opened.m_value->m_folder.apply(
+            std::vector{sample_write(3, 3, 1)}));
+        // A process that ends does not wait any more.
+        options.m_space->stop();
+        refusals = 1;
+        BOOST_TEST(!opened.m_value->m_folder.apply(
+            std::vector{sample_write(4, 4, 1)}));
+    }
+    auto const again = open_folder(scratch.path());
+    BOOST_REQUIRE_MESSAGE(again.m_value, again.m_error);
+    BOOST_TEST(again.m_value->m_folder.last_index() == 3U);
+}
+
 // Guards against more syncs than one for each group of writes.
 BOOST_AUTO_TEST_CASE(a_group_takes_one_sync)
 {
