Judge a run by lists that were asked for after its start was confirmed

Cause: an agent took a run for lost when a list that was asked for after the order, but made before the worker carried it out, arrived after the answer to the start. The list now counts only if it was asked for after the start was confirmed. The test failed with the run reported as ended.

Ruled out: lost contacts and hung runs; none was logged.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -458,7 +458,7 @@
                                  run.m_state == run_state::stopping;
         if (run.m_state == run_state::unsure)
             settle_unsure(now, current, is_listed, sent_at, out);
-        else if (has_started && run.m_started_at < sent_at && !is_listed)
+        else if (has_started && run.m_confirmed_at <= sent_at && !is_listed)
             finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
     }
     m_is_load_due = m_is_load_due || !m_is_surveyed || !m_strays.empty();
@@ -559,6 +559,7 @@
                              effects& out) -> void
 {
     started.second.m_state = run_state::running;
+    started.second.m_confirmed_at = now;
     if (started.second.m_is_unwanted)
         order_stop(now, started, out);
 }
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -85,6 +85,9 @@
         std::uint32_t m_number = 0;
         time_point m_queued_at{0};
         time_point m_started_at{0};
+        /// When it was known to run. Lists that were asked for earlier may have
+        /// been made before it started.
+        time_point m_confirmed_at{0};
         /// Lease of the start, by the worker's clock.
         std::int64_t m_lease_until_ms = 0;
         /// Its end counts as a failure of the worker: it made no progress.
--- /dev/null
+++ b/tests/core/placement/test_executor.cpp
@@ -0,0 +1,111 @@
+#include "core/placement/executor.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace core = hickorylatch::core;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr auto entry = core::node_id{1};
+
+/// The last effect of a type; null if there is none.
+template <typename Effect>
+auto last(core::effects const& out) -> Effect const*
+{
+    auto const found =
+        std::find_if(out.rbegin(), out.rend(),
+                     [](core::effect const& each)
+                     {
+                         return std::holds_alternative<Effect>(each);
+                     });
+    return found == out.rend() ? nullptr : &std::get<Effect>(*found);
+}
+
+auto ends(core::effects const& out) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(
+        out,
+        [](core::effect const& each)
+        {
+            auto const* sent = std::get_if<core::send>(&each);
+            return sent != nullptr &&
+                   std::holds_alternative<core::runs_ended>(sent->m_message);
+        });
+}
+
+auto poll_answer(std::uint64_t number) -> core::runs_polled
+{
+    auto answer = core::runs_polled{};
+    answer.m_poll = number;
+    answer.m_answer = core::worker_answer::accepted;
+    answer.m_clock_ms = 1'000;
+    return answer;
+}
+
+/// An agent that knows its worker and one entry, and may start runs.
+auto make_agent(core::effects& out) -> core::executor
+{
+    auto agent = core::executor{core::executor_settings{}};
+    auto report = core::worker_report{};
+    report.m_name = "w";
+    report.m_incarnation = 1;
+    report.m_service = "desk";
+    report.m_capacity = {16'000, 1'024, 0};
+    report.m_clock_ms = 1'000;
+    report.m_sequence = 1;
+    agent.reported(milliseconds{1'000}, report, out);
+    auto peer = core::hello{};
+    peer.m_node = entry;
+    peer.m_role = core::role::entry;
+    agent.connected(milliseconds{1'000}, peer, out);
+    agent.answered(milliseconds{1'001},
+                   poll_answer(last<core::poll_runs>(out)->m_poll), out);
+    agent.receive(milliseconds{1'002}, entry,
+                  core::contact_confirmed{milliseconds{1'001}, 0, 0}, out);
+    return agent;
+}
+
+auto make_order() -> core::order_runs
+{
+    auto order = core::order_runs{};
+    order.m_order = 1;
+    order.m_job = 1;
+    order.m_job_id = "00000000000000aa";
+    order.m_time_left_ms = 5'000;
+    order.m_runs = {{{0, 0}, 1, {1'000, 64, 0}, 100}};
+    return order;
+}
+
+} // namespace
+
+// Guards against a run that is taken for lost, and ordered elsewhere, because a
+// list that was made before it started arrives after the answer to its start.
+BOOST_AUTO_TEST_CASE(a_list_made_before_a_start_says_nothing_of_it)
+{
+    auto out = core::effects{};
+    auto agent = make_agent(out);
+    agent.receive(milliseconds{1'010}, entry, make_order(), out);
+    auto const started = *last<core::start_run>(out);
+    agent.answered(milliseconds{1'011},
+                   poll_answer(last<core::poll_runs>(out)->m_poll), out);
+    auto const early = last<core::poll_runs>(out)->m_poll;
+    out.clear();
+    agent.answered(milliseconds{1'012},
+                   core::run_start_answered{
+                       started.m_run, core::worker_answer::accepted, 1'012},
+                   out);
+    agent.answered(milliseconds{1'013}, poll_answer(early), out);
+    BOOST_TEST(agent.running() == 1U);
+    BOOST_TEST(ends(out) == 0);
+    // A list that was asked for after the start was confirmed does tell.
+    auto const* next = last<core::poll_runs>(out);
+    BOOST_REQUIRE(next != nullptr);
+    agent.answered(milliseconds{1'020}, poll_answer(next->m_poll), out);
+    BOOST_TEST(agent.running() == 0U);
+    BOOST_TEST(ends(out) == 1);
+}
