Send a task elsewhere when the room that was seen for it is gone

An order made on visible room now comes back at once if the run would have to wait, and is placed again, three times at most.

--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -507,8 +507,12 @@
     resources m_needs;
     /// Expected run time on a worker of common speed, in milliseconds.
     std::uint32_t m_expected_ms = 0;
+    /// Refused at once if it would have to wait: the entry saw room at other
+    /// workers too.
+    bool m_needs_room = false;
 };
-BOOST_DESCRIBE_STRUCT(run_order, (), (m_task, m_run, m_needs, m_expected_ms))
+BOOST_DESCRIBE_STRUCT(run_order, (),
+                      (m_task, m_run, m_needs, m_expected_ms, m_needs_room))
 
 /// Orders runs of tasks of one job. Each is answered by an end.
 struct order_runs
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -34,6 +34,8 @@
 // After a power loss links, a leader and the configuration are there within
 // this time. Clients that are refused meanwhile would not come back.
 constexpr auto start_time = duration{std::chrono::milliseconds{700}};
+// After some tries a task waits where it is sent to: each costs a round trip.
+constexpr auto most_misses = 3U;
 constexpr auto most_early = std::size_t{500};
 // Room is there again after about one task of common length.
 constexpr auto busy_retry_ms = std::uint32_t{1000};
@@ -220,6 +222,11 @@
             carry_on(now, job, random, out);
         return;
     }
+    if (end.m_reason == reason::queue_full)
+    {
+        ++task->m_misses;
+        m_workers.mark_full(agent);
+    }
     out.emplace_back(
         log_line{log_level::info,
                  "run_came_back",
@@ -485,8 +492,10 @@
         auto& order = made.m_orders[agent];
         if (order.m_order == 0)
             order.m_order = m_workers.next_order(agent);
-        order.m_runs.push_back({task.m_index, task.m_run + 1, step.m_needs,
-                                to_ms(wanted.m_expected)});
+        order.m_runs.push_back(
+            {task.m_index, task.m_run + 1, step.m_needs,
+             to_ms(wanted.m_expected),
+             choice->m_room != 0 && task.m_misses < most_misses});
         m_workers.ordered(agent, order.m_order, step.m_needs,
                           wanted.m_expected);
         made.m_finish = std::max(made.m_finish, choice->m_wait + choice->m_run);
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -144,6 +144,8 @@
             refuse(now, run, reason::lease_expired, out);
         else if (!m_worker->m_capacity.fits(run.m_needs))
             refuse(now, run, reason::no_capacity, out);
+        else if (each.m_needs_room && !can_start(run))
+            refuse(now, run, reason::queue_full, out);
         else
             m_queue.add(std::move(run));
     }
@@ -905,6 +907,15 @@
     return room;
 }
 
+auto executor::can_start(waiting_run const& wanted) const -> bool
+{
+    auto room = free_room();
+    for (auto const& [place, run] : m_queue.all())
+        if (place.first <= wanted.m_job->m_rank)
+            room -= run.m_needs;
+    return room.fits(wanted.m_needs);
+}
+
 auto executor::target() const -> worker_target
 {
     return {m_worker->m_name, m_token};
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -172,6 +172,8 @@
     [[nodiscard]] auto accepts(time_point now) const -> acceptance;
     [[nodiscard]] auto load(time_point now) const -> worker_load;
     [[nodiscard]] auto free_room() const -> resources;
+    /// True if there is room for the run behind those that go first.
+    [[nodiscard]] auto can_start(waiting_run const& wanted) const -> bool;
     [[nodiscard]] auto target() const -> worker_target;
     [[nodiscard]] auto hang_limit(time_point now, live_run const& run) const
         -> duration;
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -34,6 +34,8 @@
     std::uint64_t m_order = 0;
     std::uint32_t m_run = 0;
     std::uint32_t m_failures = 0;
+    /// Orders that found no room although there seemed to be some.
+    std::uint32_t m_misses = 0;
     /// Where it failed; it is not placed there again.
     std::vector<node_id> m_avoided;
 };
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -93,6 +93,12 @@
         unseen.pop_back();
 }
 
+auto worker_directory::mark_full(node_id agent) -> void
+{
+    if (auto const found = m_workers.find(agent); found != m_workers.end())
+        found->second.m_load.m_free = {};
+}
+
 auto worker_directory::is_usable(time_point now, view const& worker) -> bool
 {
     return worker.m_is_announced &&
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -66,6 +66,9 @@
     /// Takes back what was noted with this number, the last of the agent.
     auto retract(node_id agent, std::uint64_t order) -> void;
 
+    /// The agent had no room for a run: there is none until its next load.
+    auto mark_full(node_id agent) -> void;
+
     /// A worker on which the task is expected to end early, drawn by room and
     /// cost; none if there is no usable worker that could ever run it.
     [[nodiscard]] auto choose(time_point now, placement_request const& wanted,
