Bind waiting tasks to the first worker with room

Tasks that wait now have reservations at several workers; an agent with room offers it to the entry, which chooses a task then or declines. The wait of a job is forecast from the rate at which these workers free room, and corrected by what earlier jobs of its rank waited, so that its admission neither refuses the highest rank nor takes low ranks that will be overtaken. Half of the slack may go into the wait now instead of 0.3.

--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -38,7 +38,11 @@
                                          "contact_confirmed",
                                          "order_runs",
                                          "withdraw_runs",
-                                         "runs_ended"});
+                                         "runs_ended",
+                                         "reserve_room",
+                                         "offer_room",
+                                         "decline_room",
+                                         "release_room"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(content.index());
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -527,10 +527,60 @@
     /// in time is refused.
     std::uint32_t m_time_left_ms = 0;
     std::vector<run_order> m_runs;
+    /// Offer of room that this order takes; 0 for none.
+    std::uint64_t m_offer = 0;
 };
 BOOST_DESCRIBE_STRUCT(order_runs, (),
                       (m_order, m_job, m_job_id, m_body, m_rank, m_time_left_ms,
-                       m_runs))
+                       m_runs, m_offer))
+
+/// Puts an entry into an agent's queue for room for tasks of one step. Which
+/// tasks run there, if any, is decided when the agent offers the room.
+struct reserve_room
+{
+    /// Counts together with the orders of this entry to this agent.
+    std::uint64_t m_order = 0;
+    std::uint64_t m_job = 0;
+    std::uint32_t m_step = 0;
+    std::uint32_t m_rank = 0;
+    resources m_needs;
+    std::uint32_t m_expected_ms = 0;
+    /// Tasks to offer room for, one by one or together.
+    std::uint32_t m_count = 0;
+    /// Part of these tasks that the agent will run as far as the entry can
+    /// tell, in thousandths; the others find room elsewhere.
+    std::uint32_t m_share_permille = 1000;
+    /// Time left to the end of the runs, in milliseconds.
+    std::uint32_t m_time_left_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(reserve_room, (),
+                      (m_order, m_job, m_step, m_rank, m_needs, m_expected_ms,
+                       m_count, m_share_permille, m_time_left_ms))
+
+/// There is room for tasks of the step. The agent holds it until it gets an
+/// order with this offer's number or `decline_room`, but not for long.
+struct offer_room
+{
+    std::uint64_t m_offer = 0;
+    std::uint64_t m_job = 0;
+    std::uint32_t m_step = 0;
+    std::uint32_t m_count = 0;
+};
+BOOST_DESCRIBE_STRUCT(offer_room, (), (m_offer, m_job, m_step, m_count))
+
+/// No task of the job needs the offered room any more.
+struct decline_room
+{
+    std::uint64_t m_offer = 0;
+};
+BOOST_DESCRIBE_STRUCT(decline_room, (), (m_offer))
+
+/// Takes the reservations of a job out of the agent's queue.
+struct release_room
+{
+    std::uint64_t m_job = 0;
+};
+BOOST_DESCRIBE_STRUCT(release_room, (), (m_job))
 
 /// Takes runs back: those that wait are refused, the others are stopped. Each
 /// is answered by an end, as if nothing had been taken back.
@@ -569,7 +619,8 @@
                  vote_request, vote_reply, append_request, append_reply,
                  install_snapshot, install_reply, found_group, hand_over,
                  process_list, worker_announcement, worker_load,
-                 contact_confirmed, order_runs, withdraw_runs, runs_ended>;
+                 contact_confirmed, order_runs, withdraw_runs, runs_ended,
+                 reserve_room, offer_room, decline_room, release_room>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -12,7 +12,7 @@
 // were declared too short and for work of higher rank that is still to come.
 // With 0.15 jobs are refused beside idle workers, with 0.7 many that were taken
 // are late.
-constexpr auto wait_share = 0.3;
+constexpr auto wait_share = 0.5;
 
 } // namespace
 
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -22,8 +22,9 @@
 constexpr auto slowest_clock_percent = 103;
 // A quarter of the agents' timeout: one lost confirmation does no harm.
 constexpr auto confirm_interval = duration{std::chrono::milliseconds{100}};
-// Tasks without a worker look again this often, when a load may have come.
-constexpr auto retry_interval = duration{std::chrono::milliseconds{20}};
+// Tasks without a worker, or that wait for offers of room, look again this
+// often. A worker without a reservation may have room by then.
+constexpr auto retry_interval = duration{std::chrono::milliseconds{40}};
 // A job of a client that does not say how long it waits.
 constexpr auto default_wait = duration{std::chrono::seconds{30}};
 // Balancers ask once a second and act on the second miss. Until then a closed
@@ -94,6 +95,7 @@
     if (found == m_agents.end())
         return;
     m_workers.disconnected(peer);
+    forget_reservations(peer);
     auto& contact = found->second;
     contact.m_is_connected = false;
     contact.m_gone_at =
@@ -111,6 +113,8 @@
         on(now, from, *ends, random, out);
     else if (auto const* news = std::get_if<worker_announcement>(&incoming))
         on(now, from, *news, random, out);
+    else if (auto const* offered = std::get_if<offer_room>(&incoming))
+        on(now, from, *offered, out);
     else if (auto const* change = std::get_if<configuration_changed>(&incoming))
         on(*change, out);
     else if (auto const* known = std::get_if<process_list>(&incoming))
@@ -136,6 +140,7 @@
                 random_source& random, effects& out) -> void
 {
     m_workers.announce(now, from, news);
+    forget_reservations(from);
     auto const found = m_agents.find(from);
     if (found == m_agents.end())
         return;
@@ -193,6 +198,40 @@
         take_end(now, from, end, random, out);
 }
 
+auto broker::on(time_point now, node_id from, offer_room const& offered,
+                effects& out) -> void
+{
+    auto const found = m_jobs.find(offered.m_job);
+    auto order = found == m_jobs.end()
+                     ? std::nullopt
+                     : m_planner.fill(now, found->second, from, offered);
+    out.emplace_back(log_line{
+        log_level::debug,
+        "room_offered",
+        {{"job",
+          found == m_jobs.end() ? std::string{} : found->second.job().m_id},
+         {"worker", std::string{m_workers.worker_name(from)}},
+         {"offered", std::to_string(offered.m_count)},
+         {"taken", std::to_string(order ? order->m_runs.size() : 0)}}});
+    if (!order)
+    {
+        out.emplace_back(send{from, decline_room{offered.m_offer}});
+        return;
+    }
+    auto made = job_plan{};
+    made.m_orders.emplace(from, std::move(*order));
+    carry_out(found->second, std::move(made), out);
+    if (!found->second.has_ready_tasks())
+        note_placed(now, found->second, out);
+}
+
+auto broker::note_placed(time_point now, placed_job& job, effects& out) -> void
+{
+    m_unplaced.erase(job.number());
+    m_planner.observe_wait(now, job);
+    release(job, out);
+}
+
 auto broker::take_end(time_point now, node_id agent, run_end const& end,
                       random_source& random, effects& out) -> void
 {
@@ -250,15 +289,18 @@
                       random_source& random, effects& out) -> void
 {
     auto made = m_planner.plan(now, job->second, random);
-    auto const is_whole = made.m_unplaced == 0;
+    auto const is_whole = made.m_unplaced == 0 && made.m_reservations.empty();
     carry_out(job->second, std::move(made), out);
-    if (is_whole)
+    if (is_whole && !job->second.has_ready_tasks())
         m_unplaced.erase(job->first);
     else
-    {
-        m_unplaced.insert(job->first);
-        m_retry_at = std::min(m_retry_at, now + retry_interval);
-    }
+        retry_later(now, job->first);
+}
+
+auto broker::retry_later(time_point now, std::uint64_t job) -> void
+{
+    m_unplaced.insert(job);
+    m_retry_at = std::min(m_retry_at, now + retry_interval);
 }
 
 auto broker::refusal(time_point now, job_arrived const& request,
@@ -370,12 +412,11 @@
                job_state::failed, out);
         return;
     }
-    if (made.m_unplaced != 0)
-    {
-        m_unplaced.insert(number);
-        m_retry_at = std::min(m_retry_at, now + retry_interval);
-    }
+    if (!made.m_reservations.empty())
+        job->second.set_forecast(made.m_forecast);
     carry_out(job->second, std::move(made), out);
+    if (job->second.has_ready_tasks())
+        retry_later(now, number);
 }
 
 auto broker::describe(time_point now, placed_job const& job,
@@ -398,10 +439,12 @@
              {"queue", job.queue().m_name},
              {"version", std::to_string(m_configuration.m_version)},
              {"wait_ms", ms_field(made.m_wait)},
+             {"forecast_ms", ms_field(made.m_forecast)},
              {"longest_wait_ms", ms_field(longest)},
              {"finish_ms", ms_field(made.m_finish)},
              {"load_age_ms", ms_field(oldest)},
              {"workers", workers},
+             {"reserved_at", std::to_string(made.m_reservations.size())},
              {"unplaced", std::to_string(made.m_unplaced)}}};
 }
 
@@ -418,6 +461,24 @@
         m_agents[agent].m_jobs.insert(job.number());
         out.emplace_back(send{agent, std::move(order)});
     }
+    for (auto& [agent, reservation] : wanted.m_reservations)
+    {
+        job.reserved(reservation.m_step, agent);
+        out.emplace_back(send{agent, reservation});
+    }
+}
+
+auto broker::release(placed_job& job, effects& out) -> void
+{
+    for (auto const agent : job.take_reservations())
+        out.emplace_back(send{agent, release_room{job.number()}});
+}
+
+auto broker::forget_reservations(node_id agent) -> void
+{
+    for (auto const number : m_unplaced)
+        if (auto const job = m_jobs.find(number); job != m_jobs.end())
+            job->second.forget_reservations(agent);
 }
 
 auto broker::asked(job_asked const& request, effects& out) -> void
@@ -512,6 +573,7 @@
     if (outcome.m_run != core::run_state::ran)
         out.emplace_back(count_refusal(outcome));
     withdraw(ended, out);
+    release(job->second, out);
     out.emplace_back(answer_job{ended.exchange(), outcome, state});
     m_exchanges.erase(ended.exchange());
     if (auto const by_id = m_by_id.find(ended.job().m_id);
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -87,6 +87,8 @@
         -> void;
     auto on(time_point now, node_id from, runs_ended const& news,
             random_source& random, effects& out) -> void;
+    auto on(time_point now, node_id from, offer_room const& offered,
+            effects& out) -> void;
     auto on(configuration_changed const& change, effects& out) -> void;
     auto take_end(time_point now, node_id agent, run_end const& end,
                   random_source& random, effects& out) -> void;
@@ -119,6 +121,12 @@
     auto finish(time_point now, live_jobs::iterator job, verdict const& outcome,
                 job_state state, effects& out) -> void;
     auto withdraw(placed_job const& job, effects& out) -> void;
+    auto release(placed_job& job, effects& out) -> void;
+    /// All tasks of the job that may start have a worker.
+    auto note_placed(time_point now, placed_job& job, effects& out) -> void;
+    /// The agent lost the reservations that it held.
+    auto forget_reservations(node_id agent) -> void;
+    auto retry_later(time_point now, std::uint64_t job) -> void;
 
     broker_settings m_settings;
     link_targets m_links;
@@ -133,7 +141,7 @@
     /// and when each came.
     std::vector<std::pair<time_point, job_arrived>> m_early;
     time_point m_started_at = never;
-    /// Jobs with tasks that found no worker.
+    /// Jobs with tasks that wait for room, or that found no worker.
     std::set<std::uint64_t> m_unplaced;
     time_point m_retry_at = never;
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -80,15 +80,22 @@
     entry.m_is_connected = true;
     entry.m_is_announced = false;
     entry.m_told_version = 0;
-    // Numbers of orders count per link.
+    // Numbers of orders count per link, and reservations end with it.
     entry.m_order = 0;
+    m_queue.release(peer.m_node, std::nullopt);
+    m_offers.drop(peer.m_node);
     settle(now, out);
 }
 
-auto executor::disconnected(node_id peer) -> void
+auto executor::disconnected(time_point now, node_id peer, effects& out) -> void
 {
-    if (auto const found = m_contacts.find(peer); found != m_contacts.end())
-        found->second.m_is_connected = false;
+    auto const found = m_contacts.find(peer);
+    if (found == m_contacts.end())
+        return;
+    found->second.m_is_connected = false;
+    m_queue.release(peer, std::nullopt);
+    m_offers.drop(peer);
+    settle(now, out);
 }
 
 auto executor::receive(time_point now, node_id from, message const& incoming,
@@ -108,6 +115,12 @@
     }
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
+    else if (auto const* wanted = std::get_if<reserve_room>(&incoming))
+        on(now, from, *wanted);
+    else if (auto const* declined = std::get_if<decline_room>(&incoming))
+        m_offers.take(from, declined->m_offer);
+    else if (auto const* released = std::get_if<release_room>(&incoming))
+        m_queue.release(from, released->m_job);
     else
         return;
     settle(now, out);
@@ -128,6 +141,8 @@
     job->m_body = order.m_body;
     job->m_rank = order.m_rank;
     job->m_deadline = now + std::chrono::milliseconds{order.m_time_left_ms};
+    auto const held = m_offers.take(from, order.m_offer);
+    auto left = held ? held->m_count : 0;
     for (auto const& each : order.m_runs)
     {
         auto run = waiting_run{};
@@ -137,13 +152,16 @@
         run.m_expected = std::chrono::milliseconds{each.m_expected_ms};
         run.m_queued_at = now;
         m_probe = each.m_needs;
-        if (accepts(now) == acceptance::none)
-            refuse(now, run,
-                   m_is_stopping ? reason::draining : reason::no_capacity, out);
-        else if (entry.m_until <= now)
-            refuse(now, run, reason::lease_expired, out);
-        else if (!m_worker->m_capacity.fits(run.m_needs))
-            refuse(now, run, reason::no_capacity, out);
+        auto const is_held = left != 0 && held->m_needs == run.m_needs;
+        auto const why = refusal(now, run, entry);
+        if (why != reason::none)
+            refuse(now, run, why, out);
+        else if (is_held && free_room().fits(run.m_needs) &&
+                 !m_live.contains({job->m_id, run.m_ref.m_task}))
+        {
+            --left;
+            start(now, run, out);
+        }
         else if (each.m_needs_room && !can_start(run))
             refuse(now, run, reason::queue_full, out);
         else
@@ -151,6 +169,43 @@
     }
 }
 
+auto executor::refusal(time_point now, waiting_run const& wanted,
+                       contact const& entry) const -> reason
+{
+    if (accepts(now) == acceptance::none)
+        return m_is_stopping ? reason::draining : reason::no_capacity;
+    if (entry.m_until <= now)
+        return reason::lease_expired;
+    return m_worker->m_capacity.fits(wanted.m_needs) ? reason::none
+                                                     : reason::no_capacity;
+}
+
+auto executor::on(time_point now, node_id from, reserve_room const& wanted)
+    -> void
+{
+    auto const found = m_contacts.find(from);
+    if (found == m_contacts.end() || wanted.m_count == 0)
+        return;
+    found->second.m_order = wanted.m_order;
+    m_is_load_due = true;
+    auto job = std::make_shared<ordered_job>();
+    job->m_entry = from;
+    job->m_rank = wanted.m_rank;
+    job->m_deadline = now + std::chrono::milliseconds{wanted.m_time_left_ms};
+    auto reserved = waiting_run{};
+    reserved.m_job = std::move(job);
+    reserved.m_ref = {wanted.m_job, {wanted.m_step, 0}, 0};
+    reserved.m_needs = wanted.m_needs;
+    reserved.m_expected = std::chrono::milliseconds{wanted.m_expected_ms};
+    reserved.m_queued_at = now;
+    reserved.m_reserved = wanted.m_count;
+    reserved.m_share = wanted.m_share_permille / 1000.0;
+    m_probe = wanted.m_needs;
+    // The entry looks for another worker when this one can't serve it.
+    if (refusal(now, reserved, found->second) == reason::none)
+        m_queue.add(std::move(reserved));
+}
+
 auto executor::on(time_point now, node_id from, withdraw_runs const& order,
                   effects& out) -> void
 {
@@ -291,6 +346,7 @@
     while (!m_live.empty())
         finish(now, m_live.begin(), run_outcome::lapsed, reason::agent_lost,
                out);
+    m_offers.clear();
     while (m_queue.size() != 0)
     {
         refuse(now, m_queue.all().begin()->second, reason::no_capacity, out);
@@ -514,6 +570,15 @@
         auto const& run = next->second;
         if (!free_room().fits(run.m_needs))
             return;
+        if (run.m_reserved != 0)
+        {
+            // A worker on trial gets one run at a time.
+            if (accepts(now) == acceptance::trial &&
+                (!m_live.empty() || !m_offers.empty()))
+                return;
+            next = offer(now, next, out);
+            continue;
+        }
         auto const key = live_key{run.m_job->m_id, run.m_ref.m_task};
         if (auto const older = m_live.find(key); older != m_live.end())
         {
@@ -527,6 +592,21 @@
     }
 }
 
+auto executor::offer(time_point now, run_queue::runs::const_iterator reserved,
+                     effects& out) -> run_queue::runs::const_iterator
+{
+    auto const& run = reserved->second;
+    auto const is_trial = accepts(now) == acceptance::trial;
+    auto const count = std::min(
+        run.m_reserved, is_trial ? 1 : free_room().copies_of(run.m_needs));
+    auto const entry = run.m_job->m_entry;
+    auto const number = m_offers.add(now, entry, run.m_needs, count);
+    out.emplace_back(send{entry, offer_room{number, run.m_ref.m_job,
+                                            run.m_ref.m_task.m_step, count}});
+    m_is_load_due = true;
+    return m_queue.offered(reserved, count);
+}
+
 auto executor::start(time_point now, waiting_run const& next, effects& out)
     -> void
 {
@@ -646,6 +726,9 @@
 auto executor::refuse(time_point now, waiting_run const& refused, reason why,
                       effects& out) -> void
 {
+    // Nobody waits for the end of a reservation.
+    if (refused.m_reserved != 0)
+        return;
     out.emplace_back(
         log_line{log_level::info,
                  "run_refused",
@@ -667,6 +750,10 @@
 {
     check_runs(now, out);
     check_contacts(now, out);
+    if (auto const expired = m_offers.expire(now); expired != 0)
+        out.emplace_back(log_line{log_level::warning,
+                                  "offers_expired",
+                                  {{"offers", std::to_string(expired)}}});
     settle(now, out);
 }
 
@@ -839,7 +926,7 @@
         if (run.m_job->m_entry == to)
             news.m_runs.push_back(run.m_ref);
     for (auto const& [place, run] : m_queue.all())
-        if (run.m_job->m_entry == to)
+        if (run.m_job->m_entry == to && run.m_reserved == 0)
             news.m_runs.push_back(run.m_ref);
     for (auto const& ends : entry.m_unconfirmed)
         out.emplace_back(send{to, ends});
@@ -904,6 +991,7 @@
     auto room = m_worker->m_capacity;
     for (auto const& [key, run] : m_live)
         room -= run.m_needs;
+    room -= m_offers.held();
     return room;
 }
 
@@ -974,6 +1062,7 @@
             first = std::min(first, run.m_started_at +
                                         hang_limit(run.m_started_at, run));
     }
+    first = std::min(first, m_offers.next_deadline());
     for (auto const& [node, entry] : m_contacts)
         if (!entry.m_is_expired)
             first = std::min(first, entry.m_until);
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/agent_health.hpp"
 #include "core/model/effect.hpp"
 #include "core/placement/link_targets.hpp"
+#include "core/placement/room_offers.hpp"
 #include "core/placement/run_queue.hpp"
 #include "core/placement/worker_clock.hpp"
 #include "core/placement/worker_pace.hpp"
@@ -39,7 +40,7 @@
     explicit executor(executor_settings settings);
 
     auto connected(time_point now, hello const& peer, effects& out) -> void;
-    auto disconnected(node_id peer) -> void;
+    auto disconnected(time_point now, node_id peer, effects& out) -> void;
     auto receive(time_point now, node_id from, message const& incoming,
                  effects& out) -> void;
     auto reported(time_point now, worker_report const& report, effects& out)
@@ -128,11 +129,16 @@
             effects& out) -> void;
     auto on(time_point now, node_id from, contact_confirmed const& news,
             effects& out) -> void;
+    auto on(time_point now, node_id from, reserve_room const& wanted) -> void;
 
     auto begin_lifetime(time_point now, worker_report const& report,
                         effects& out) -> void;
     auto dispatch(time_point now, effects& out) -> void;
     auto start(time_point now, waiting_run const& next, effects& out) -> void;
+    /// Offers room to the entry of a reservation. Returns the next place in the
+    /// queue.
+    auto offer(time_point now, run_queue::runs::const_iterator reserved,
+               effects& out) -> run_queue::runs::const_iterator;
     auto order_start(time_point now, live_runs::value_type& started,
                      effects& out) -> void;
     auto confirm_start(time_point now, live_runs::value_type& started,
@@ -174,6 +180,9 @@
     [[nodiscard]] auto free_room() const -> resources;
     /// True if there is room for the run behind those that go first.
     [[nodiscard]] auto can_start(waiting_run const& wanted) const -> bool;
+    /// Why the run of an order is refused; `none` if it is not.
+    [[nodiscard]] auto refusal(time_point now, waiting_run const& wanted,
+                               contact const& entry) const -> reason;
     [[nodiscard]] auto target() const -> worker_target;
     [[nodiscard]] auto hang_limit(time_point now, live_run const& run) const
         -> duration;
@@ -198,6 +207,7 @@
     resources m_probe;
 
     run_queue m_queue;
+    room_offers m_offers;
     live_runs m_live;
     std::map<node_id, contact> m_contacts;
 
--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -10,8 +10,15 @@
 namespace
 {
 
-// After some tries a task waits where it is sent to: each costs a round trip.
+// After some orders that found no room a task waits for an offer of it: each
+// order costs a round trip.
 constexpr auto most_misses = 3U;
+// A task that waits starts at the first of several workers that has room. Few
+// tasks need at least so many places that one frees soon.
+constexpr auto reservations_per_task = std::size_t{2};
+constexpr auto fewest_reservations = std::size_t{12};
+// Waits that a load tells are whole milliseconds.
+constexpr auto least_wait = duration{1'000};
 
 auto to_ms(duration value) -> std::uint32_t
 {
@@ -30,40 +37,147 @@
 auto job_planner::plan(time_point now, placed_job& job, random_source& random)
     -> job_plan
 {
+    for (auto const agent : job.reservations())
+        if (!m_workers.is_usable(now, agent))
+            job.forget_reservations(agent);
     auto made = job_plan{};
+    // Tasks of each step that no worker has room for.
+    auto waiting = std::map<std::uint32_t, std::uint32_t>{};
     for (auto& task : job.tasks())
     {
         if (task.m_state != task_state::ready)
             continue;
         auto const choice = choose(now, job, task, made, random);
-        if (!choice)
+        if (!choice || choice->m_room == 0 || task.m_misses >= most_misses)
         {
-            ++made.m_unplaced;
+            ++waiting[task.m_index.m_step];
             continue;
         }
-        auto const& step = job.step(task);
-        auto const expected = expected_run(job.queue(), step);
         auto const agent = choice->m_agent;
         auto& order = made.m_orders[agent];
         if (order.m_order == 0)
             order.m_order = m_workers.next_order(agent);
-        auto const needs_room =
-            choice->m_room != 0 && task.m_misses < most_misses;
-        order.m_runs.push_back({task.m_index, task.m_run + 1, step.m_needs,
-                                to_ms(expected), needs_room});
-        m_workers.ordered(agent, order.m_order, step.m_needs, expected);
-        made.m_finish = std::max(made.m_finish, choice->m_wait + choice->m_run);
-        made.m_wait = std::max(made.m_wait, choice->m_wait);
+        add_run(job, task, agent, order);
+        order.m_runs.back().m_needs_room = true;
+        made.m_finish = std::max(made.m_finish, choice->m_run);
     }
     for (auto& [agent, order] : made.m_orders)
+        complete(now, job, order);
+    for (auto const& [step, tasks] : waiting)
+        reserve(now, job, step, tasks, made, random);
+    return made;
+}
+
+auto job_planner::reserve(time_point now, placed_job const& job,
+                          std::uint32_t step, std::uint32_t tasks,
+                          job_plan& made, random_source& random) -> void
+{
+    if (job.has_reservations(step))
+        return;
+    auto const& wanted_step = job.job().m_steps[step];
+    auto wanted = placement_request{};
+    wanted.m_service = job.queue().m_service;
+    wanted.m_rank = job.queue().m_rank;
+    wanted.m_step = &wanted_step;
+    wanted.m_expected = expected_run(job.queue(), wanted_step);
+    auto const full = agents_at_limit(job, made, step);
+    wanted.m_avoided = full;
+    auto const count = std::max(std::size_t{tasks} * reservations_per_task,
+                                fewest_reservations);
+    auto const agents = m_workers.soonest(now, wanted, count, random);
+    if (agents.empty())
     {
+        made.m_unplaced += tasks;
+        return;
+    }
+    auto const share = 1'000 / static_cast<std::uint32_t>(agents.size());
+    for (auto const& each : agents)
+    {
+        auto order = reserve_room{};
+        order.m_order = m_workers.next_order(each.m_agent);
         order.m_job = job.number();
-        order.m_job_id = job.job().m_id;
-        order.m_body = job.job().m_body;
+        order.m_step = step;
         order.m_rank = job.queue().m_rank;
+        order.m_needs = wanted_step.m_needs;
+        order.m_expected_ms = to_ms(wanted.m_expected);
+        order.m_count = tasks;
+        order.m_share_permille = share;
         order.m_time_left_ms = to_ms(job.deadline() - now);
+        made.m_reservations.emplace_back(each.m_agent, order);
+        m_workers.ordered(each.m_agent, order.m_order, order.m_needs,
+                          wanted.m_expected * tasks * share / 1'000);
     }
-    return made;
+    // Room frees at each worker about once in its wait for one task.
+    auto rate = 0.0;
+    for (auto const& each : agents)
+        rate += 1.0 /
+                static_cast<double>(std::max(each.m_wait, least_wait).count());
+    auto const forecast = duration{static_cast<duration::rep>(tasks / rate)};
+    auto const wait =
+        m_corrections[job.queue().m_rank].corrected(now, forecast);
+    made.m_forecast = std::max(made.m_forecast, forecast);
+    made.m_wait = std::max(made.m_wait, wait);
+    made.m_finish = std::max(made.m_finish, wait + agents.front().m_run);
+}
+
+auto job_planner::observe_wait(time_point now, placed_job& job) -> void
+{
+    if (auto const forecast = job.take_forecast())
+        m_corrections[job.queue().m_rank].observe(now, *forecast,
+                                                  now - job.arrived());
+}
+
+auto job_planner::fill(time_point now, placed_job& job, node_id agent,
+                       offer_room const& offered) -> std::optional<order_runs>
+{
+    auto order = order_runs{};
+    order.m_offer = offered.m_offer;
+    auto const limit = job.job().m_steps.at(offered.m_step).m_worker_limit;
+    auto present = std::ranges::count_if(
+        job.tasks(),
+        [&](placed_task const& task)
+        {
+            return task.m_index.m_step == offered.m_step &&
+                   task.m_state == task_state::placed && task.m_agent == agent;
+        });
+    for (auto& task : job.tasks())
+    {
+        if (order.m_runs.size() == offered.m_count ||
+            (limit != 0 && present >= limit))
+            break;
+        if (task.m_state != task_state::ready ||
+            task.m_index.m_step != offered.m_step ||
+            std::ranges::find(task.m_avoided, agent) != task.m_avoided.end())
+            continue;
+        if (order.m_order == 0)
+            order.m_order = m_workers.next_order(agent);
+        add_run(job, task, agent, order);
+        ++present;
+    }
+    if (order.m_runs.empty())
+        return std::nullopt;
+    complete(now, job, order);
+    return order;
+}
+
+auto job_planner::add_run(placed_job const& job, placed_task const& task,
+                          node_id agent, order_runs& order) -> void
+{
+    auto const& step = job.step(task);
+    auto const expected = expected_run(job.queue(), step);
+    order.m_runs.push_back(
+        {task.m_index, task.m_run + 1, step.m_needs, to_ms(expected)});
+    m_workers.ordered(agent, order.m_order, step.m_needs, expected);
+}
+
+auto job_planner::complete(time_point now, placed_job const& job,
+                           order_runs& order) -> void
+{
+    order.m_job = job.number();
+    order.m_job_id = job.job().m_id;
+    order.m_body = job.job().m_body;
+    order.m_rank = job.queue().m_rank;
+    order.m_time_left_ms = to_ms(job.deadline() - now);
 }
 
 auto job_planner::choose(time_point now, placed_job const& job,
@@ -89,6 +203,8 @@
 
 auto job_planner::drop(job_plan const& unwanted) -> void
 {
+    for (auto const& [agent, reservation] : unwanted.m_reservations)
+        m_workers.retract(agent, reservation.m_order);
     for (auto const& [agent, order] : unwanted.m_orders)
         m_workers.retract(agent, order.m_order);
 }
--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/placed_job.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickorylatch::core
 {
@@ -74,6 +75,39 @@
     m_may_have_started = true;
 }
 
+auto placed_job::set_forecast(duration wait) -> void
+{
+    m_forecast = wait;
+}
+
+auto placed_job::take_forecast() -> std::optional<duration>
+{
+    return std::exchange(m_forecast, std::nullopt);
+}
+
+auto placed_job::reserved(std::uint32_t step, node_id agent) -> void
+{
+    m_reserved[step].insert(agent);
+}
+
+auto placed_job::forget_reservations(node_id agent) -> void
+{
+    for (auto& [step, agents] : m_reserved)
+        agents.erase(agent);
+    std::erase_if(m_reserved,
+                  [](auto const& each)
+                  {
+                      return each.second.empty();
+                  });
+}
+
+auto placed_job::take_reservations() -> std::set<node_id>
+{
+    auto const all = reservations();
+    m_reserved.clear();
+    return all;
+}
+
 auto placed_job::number() const -> std::uint64_t
 {
     return m_number;
@@ -129,6 +163,28 @@
     return m_may_have_started;
 }
 
+auto placed_job::has_reservations(std::uint32_t step) const -> bool
+{
+    return m_reserved.contains(step);
+}
+
+auto placed_job::reservations() const -> std::set<node_id>
+{
+    auto all = std::set<node_id>{};
+    for (auto const& [step, agents] : m_reserved)
+        all.insert(agents.begin(), agents.end());
+    return all;
+}
+
+auto placed_job::has_ready_tasks() const -> bool
+{
+    return std::ranges::any_of(m_tasks,
+                               [](placed_task const& task)
+                               {
+                                   return task.m_state == task_state::ready;
+                               });
+}
+
 auto placed_job::ref(placed_task const& task) const -> run_ref
 {
     return {m_number, task.m_index, task.m_run};
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -9,6 +9,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -57,6 +60,17 @@
     auto ordered(placed_task& task, node_id agent, std::uint64_t order) -> void;
     /// Some run may have started.
     auto note_started() -> void;
+    /// The job waits for room, this long as far as could be told.
+    auto set_forecast(duration wait) -> void;
+    /// The forecast when the job was taken; none if it had room at once or
+    /// after the first call.
+    auto take_forecast() -> std::optional<duration>;
+    /// Room for tasks of the step is reserved at an agent.
+    auto reserved(std::uint32_t step, node_id agent) -> void;
+    /// The agent has no reservation of this job any more.
+    auto forget_reservations(node_id agent) -> void;
+    /// Takes all reservations that may exist. Returns their agents.
+    auto take_reservations() -> std::set<node_id>;
 
     [[nodiscard]] auto number() const -> std::uint64_t;
     [[nodiscard]] auto exchange() const -> exchange_id;
@@ -70,6 +84,10 @@
     [[nodiscard]] auto step(placed_task const& task) const -> job_step const&;
     [[nodiscard]] auto is_complete() const -> bool;
     [[nodiscard]] auto may_have_started() const -> bool;
+    [[nodiscard]] auto has_reservations(std::uint32_t step) const -> bool;
+    /// Agents that may hold a reservation.
+    [[nodiscard]] auto reservations() const -> std::set<node_id>;
+    [[nodiscard]] auto has_ready_tasks() const -> bool;
     [[nodiscard]] auto ref(placed_task const& task) const -> run_ref;
 
 private:
@@ -85,7 +103,10 @@
     /// Tasks of each step that have not succeeded.
     std::vector<std::uint32_t> m_open;
     std::size_t m_open_tasks = 0;
+    /// Agents that may hold a reservation, by step.
+    std::map<std::uint32_t, std::set<node_id>> m_reserved;
     bool m_may_have_started = false;
+    std::optional<duration> m_forecast;
 };
 
 } // namespace hickorylatch::core
--- a/src/core/placement/run_queue.cpp
+++ b/src/core/placement/run_queue.cpp
@@ -51,6 +51,26 @@
         std::ranges::push_heap(m_releases, release_order);
     }
 
+    /// Runs what waits at one place of a queue. False if there never is room.
+    auto play(waiting_run const& waiting) -> bool
+    {
+        // Of a reservation only a part will run here.
+        auto left = waiting.m_reserved == 0
+                        ? 1.0
+                        : waiting.m_reserved * waiting.m_share;
+        for (; left > 0.0; left -= 1.0)
+        {
+            if (wait_for(waiting.m_needs) == never)
+                return false;
+            run(waiting.m_needs,
+                std::chrono::duration_cast<duration>(
+                    std::chrono::duration<double, duration::period>(
+                        waiting.m_expected) *
+                    std::min(left, 1.0)));
+        }
+        return true;
+    }
+
 private:
     time_point m_now;
     resources m_room;
@@ -96,6 +116,27 @@
     return taken;
 }
 
+auto run_queue::offered(runs::const_iterator at, std::uint32_t count)
+    -> runs::const_iterator
+{
+    auto const place = m_runs.find(at->first);
+    place->second.m_reserved -= std::min(count, place->second.m_reserved);
+    return place->second.m_reserved == 0 ? m_runs.erase(place)
+                                         : std::next(place);
+}
+
+auto run_queue::release(node_id entry, std::optional<std::uint64_t> job) -> void
+{
+    std::erase_if(m_runs,
+                  [&](auto const& each)
+                  {
+                      auto const& run = each.second;
+                      return run.m_reserved != 0 &&
+                             run.m_job->m_entry == entry &&
+                             (!job || run.m_ref.m_job == *job);
+                  });
+}
+
 auto run_queue::all() const -> runs const&
 {
     return m_runs;
@@ -126,9 +167,8 @@
                seen < forecast_runs;
              ++place, ++seen)
         {
-            if (forecast.wait_for(place->second.m_needs) == never)
+            if (!forecast.play(place->second))
                 return waits;
-            forecast.run(place->second.m_needs, place->second.m_expected);
         }
         auto behind = forecast;
         waits.push_back({rank, to_wait_ms(now, behind.wait_for(probe))});
--- a/src/core/placement/run_queue.hpp
+++ b/src/core/placement/run_queue.hpp
@@ -26,7 +26,8 @@
     time_point m_deadline = never;
 };
 
-/// A run that waits for room at a worker.
+/// A run that waits for room at a worker, or a reservation of room for tasks
+/// that their entry has not chosen yet.
 struct waiting_run
 {
     std::shared_ptr<ordered_job const> m_job;
@@ -34,6 +35,10 @@
     resources m_needs;
     duration m_expected{0};
     time_point m_queued_at{0};
+    /// Tasks of the step that room is reserved for; 0 for a run.
+    std::uint32_t m_reserved = 0;
+    /// Part of them that will run here, as far as the entry can tell.
+    double m_share = 1.0;
 };
 
 /// Runs that wait at one worker, by rank and then in order of arrival.
@@ -49,6 +54,13 @@
     auto take(node_id entry, run_ref const& wanted)
         -> std::optional<waiting_run>;
 
+    /// Takes note that room was offered for some tasks of a reservation; it
+    /// leaves the queue with the last one. Returns the next place.
+    auto offered(runs::const_iterator at, std::uint32_t count)
+        -> runs::const_iterator;
+    /// Removes the reservations of one job, or all of an entry.
+    auto release(node_id entry, std::optional<std::uint64_t> job) -> void;
+
     [[nodiscard]] auto all() const -> runs const&;
     [[nodiscard]] auto size() const -> std::size_t;
 
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -136,6 +136,30 @@
     return draw(found, wanted.m_expected, cost_scale, random);
 }
 
+auto worker_directory::soonest(time_point now, placement_request const& wanted,
+                               std::size_t count, random_source& random) const
+    -> std::vector<placement_choice>
+{
+    auto found = std::vector<placement_choice>{};
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (!takes(now, agent, worker, wanted) ||
+            worker.m_load.m_accepts != acceptance::full)
+            continue;
+        auto choice = assess(worker, wanted);
+        choice.m_agent = agent;
+        found.push_back(choice);
+    }
+    // Agents are in the same order everywhere; equal costs must not be.
+    auto const first = found.empty() ? 0 : random.number() % found.size();
+    std::ranges::rotate(found,
+                        found.begin() + static_cast<std::ptrdiff_t>(first));
+    std::ranges::stable_sort(found, {}, &placement_choice::m_cost);
+    found.resize(std::min(found.size(), count));
+    std::ranges::stable_sort(found, {}, &placement_choice::m_wait);
+    return found;
+}
+
 auto worker_directory::draw(std::span<placement_choice const> from,
                             duration expected, double scale_part,
                             random_source& random) -> placement_choice
@@ -233,6 +257,12 @@
            duration{static_cast<duration::rep>(unseen / cores)};
 }
 
+auto worker_directory::is_usable(time_point now, node_id agent) const -> bool
+{
+    auto const found = m_workers.find(agent);
+    return found != m_workers.end() && is_usable(now, found->second);
+}
+
 auto worker_directory::has_usable(time_point now,
                                   std::string_view service) const -> bool
 {
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -74,6 +74,13 @@
     [[nodiscard]] auto choose(time_point now, placement_request const& wanted,
                               random_source& random) const
         -> std::optional<placement_choice>;
+    /// The workers where a task would find room soonest, at most `count`, in
+    /// order of their waits. Leaves out workers on trial.
+    [[nodiscard]] auto soonest(time_point now, placement_request const& wanted,
+                               std::size_t count, random_source& random) const
+        -> std::vector<placement_choice>;
+    /// True if the agent takes runs now.
+    [[nodiscard]] auto is_usable(time_point now, node_id agent) const -> bool;
     /// True if some worker of the service takes runs now.
     [[nodiscard]] auto has_usable(time_point now,
                                   std::string_view service) const -> bool;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -69,7 +69,7 @@
         if (m_node.m_broker)
             m_node.m_broker->disconnected(m_now, event.m_peer);
         if (m_node.m_executor)
-            m_node.m_executor->disconnected(event.m_peer);
+            m_node.m_executor->disconnected(m_now, event.m_peer, m_out);
         if (m_node.m_control)
             m_node.m_control->disconnected(m_now, event.m_peer, m_node.m_random,
                                            m_out);
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -267,7 +267,11 @@
     ++link.m_epoch;
     if (m_entries.at(entry).m_broker)
         m_entries.at(entry).m_broker->disconnected(m_now, state.m_node);
-    state.m_executor->disconnected(entry_node);
+    agent_feed(state,
+               [&](core::executor& executor, core::effects& out)
+               {
+                   executor.disconnected(m_now, entry_node, out);
+               });
 }
 
 auto placement_world::cut(std::string const& entry, std::string const& worker,
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -103,6 +103,63 @@
     check_promises(*world);
 }
 
+// Guards against a task that waits at one worker while another one has room,
+// because run times were declared wrongly: it starts where room is there first.
+BOOST_AUTO_TEST_CASE(a_waiting_task_starts_at_the_first_worker_with_room)
+{
+    auto world = placement_world{};
+    world.add_entry("e1");
+    world.add_worker("w1", {}, {"a"});
+    world.add_worker("w2", {}, {"b"});
+    world.configure();
+    world.run_for(seconds{1});
+    auto const fill = [&](std::string const& label, core::duration declared,
+                          core::duration actual)
+    {
+        auto job = make_job("f" + label, 10, declared, actual);
+        job.m_steps.front().m_required_label = label;
+        return world.submit("e1", "slow", job, seconds{9});
+    };
+    auto const soon = fill("a", seconds{1}, seconds{3});
+    auto const late = fill("b", seconds{2}, milliseconds{200});
+    world.run_for(milliseconds{100});
+    auto const job = world.submit(
+        "e1", "fast", make_job("u", 4, milliseconds{60}, milliseconds{60}),
+        seconds{5});
+    BOOST_TEST(world.run_until_answered(job, seconds{5}));
+    BOOST_TEST(is_completed(world, job));
+    // The rest of the run that was declared as 2 s, its own and round trips.
+    BOOST_TEST((world.answer(job)->m_age < milliseconds{180}));
+    world.run_for(seconds{5});
+    BOOST_TEST(is_completed(world, soon));
+    BOOST_TEST(is_completed(world, late));
+    check_promises(world);
+}
+
+// Guards against room that stays idle for an entry that has gone while tasks of
+// its jobs waited.
+BOOST_AUTO_TEST_CASE(room_is_not_kept_for_an_entry_that_is_gone)
+{
+    auto world = make_world();
+    auto const fill = [&](std::string const& entry, std::string const& id)
+    {
+        return world->submit(
+            entry, "slow",
+            make_job(id, 30, milliseconds{200}, milliseconds{200}), seconds{9});
+    };
+    auto const first = fill("e2", "a");
+    world->run_for(milliseconds{50});
+    fill("e1", "b");
+    auto const last = fill("e2", "c");
+    world->run_for(milliseconds{100});
+    world->kill_entry("e1");
+    BOOST_TEST(world->run_until_answered(last, seconds{2}));
+    BOOST_TEST(is_completed(*world, first));
+    BOOST_TEST(is_completed(*world, last));
+    BOOST_TEST((world->answer(last)->m_age < milliseconds{500}));
+    check_promises(*world);
+}
+
 // Guards against a job that fails because one worker fails all it starts.
 BOOST_AUTO_TEST_CASE(a_failed_task_runs_elsewhere)
 {
