Reserve room again when a reservation is used up or dropped

Room for one task was reserved at two agents. Three other tasks came back with queue_full and waited as well, both agents offered their room and both offers were taken, but the entry still listed the reservations and reserved no more. A reservation that an agent refused or dropped, for instance because its worker drains, left the same gap.

Ruled out: lost offers (both offer_room lines are in the log) and a full queue at the agents (they held no reservation of the job any more).

Now the entry counts what it reserved against what was offered, and an agent that refuses or drops a reservation says so.

room_is_reserved_again_when_all_of_it_was_offered failed before the change.

--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -42,7 +42,8 @@
                                          "reserve_room",
                                          "offer_room",
                                          "decline_room",
-                                         "release_room"});
+                                         "release_room",
+                                         "reservation_dropped"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(content.index());
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -582,6 +582,14 @@
 };
 BOOST_DESCRIBE_STRUCT(release_room, (), (m_job))
 
+/// The agent won't offer room for the tasks of a reservation.
+struct reservation_dropped
+{
+    std::uint64_t m_job = 0;
+    std::uint32_t m_step = 0;
+};
+BOOST_DESCRIBE_STRUCT(reservation_dropped, (), (m_job, m_step))
+
 /// Takes runs back: those that wait are refused, the others are stopped. Each
 /// is answered by an end, as if nothing had been taken back.
 struct withdraw_runs
@@ -612,15 +620,14 @@
 
 /// Everything that travels between processes of the system. The position of
 /// an alternative is its number on the wire: new ones go to the end.
-using message =
-    std::variant<hello, submit, cancel, submit_result, not_leader, operate,
-                 operate_result, announce, welcome, start, finished,
-                 stop_attempt, forget, renew, renewed, configuration_changed,
-                 vote_request, vote_reply, append_request, append_reply,
-                 install_snapshot, install_reply, found_group, hand_over,
-                 process_list, worker_announcement, worker_load,
-                 contact_confirmed, order_runs, withdraw_runs, runs_ended,
-                 reserve_room, offer_room, decline_room, release_room>;
+using message = std::variant<
+    hello, submit, cancel, submit_result, not_leader, operate, operate_result,
+    announce, welcome, start, finished, stop_attempt, forget, renew, renewed,
+    configuration_changed, vote_request, vote_reply, append_request,
+    append_reply, install_snapshot, install_reply, found_group, hand_over,
+    process_list, worker_announcement, worker_load, contact_confirmed,
+    order_runs, withdraw_runs, runs_ended, reserve_room, offer_room,
+    decline_room, release_room, reservation_dropped>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -3,6 +3,7 @@
 #include "core/placement/admission.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -115,6 +116,11 @@
         on(now, from, *news, random, out);
     else if (auto const* offered = std::get_if<offer_room>(&incoming))
         on(now, from, *offered, out);
+    else if (auto const* dropped = std::get_if<reservation_dropped>(&incoming))
+    {
+        if (auto const job = m_jobs.find(dropped->m_job); job != m_jobs.end())
+            job->second.forget_reservation(dropped->m_step, from);
+    }
     else if (auto const* change = std::get_if<configuration_changed>(&incoming))
         on(*change, out);
     else if (auto const* known = std::get_if<process_list>(&incoming))
@@ -202,9 +208,12 @@
                 effects& out) -> void
 {
     auto const found = m_jobs.find(offered.m_job);
-    auto order = found == m_jobs.end()
-                     ? std::nullopt
-                     : m_planner.fill(now, found->second, from, offered);
+    auto order = std::optional<order_runs>{};
+    if (found != m_jobs.end())
+    {
+        found->second.offered(offered.m_step, from, offered.m_count);
+        order = m_planner.fill(now, found->second, from, offered);
+    }
     out.emplace_back(log_line{
         log_level::debug,
         "room_offered",
@@ -463,7 +472,7 @@
     }
     for (auto& [agent, reservation] : wanted.m_reservations)
     {
-        job.reserved(reservation.m_step, agent);
+        job.reserved(reservation.m_step, agent, reservation.m_count);
         out.emplace_back(send{agent, reservation});
     }
 }
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -116,7 +116,7 @@
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
     else if (auto const* wanted = std::get_if<reserve_room>(&incoming))
-        on(now, from, *wanted);
+        on(now, from, *wanted, out);
     else if (auto const* declined = std::get_if<decline_room>(&incoming))
         m_offers.take(from, declined->m_offer);
     else if (auto const* released = std::get_if<release_room>(&incoming))
@@ -180,8 +180,8 @@
                                                      : reason::no_capacity;
 }
 
-auto executor::on(time_point now, node_id from, reserve_room const& wanted)
-    -> void
+auto executor::on(time_point now, node_id from, reserve_room const& wanted,
+                  effects& out) -> void
 {
     auto const found = m_contacts.find(from);
     if (found == m_contacts.end() || wanted.m_count == 0)
@@ -202,7 +202,10 @@
     reserved.m_share = wanted.m_share_permille / 1000.0;
     m_probe = wanted.m_needs;
     // The entry looks for another worker when this one can't serve it.
-    if (refusal(now, reserved, found->second) == reason::none)
+    if (auto const why = refusal(now, reserved, found->second);
+        why != reason::none)
+        refuse(now, reserved, why, out);
+    else
         m_queue.add(std::move(reserved));
 }
 
@@ -726,9 +729,14 @@
 auto executor::refuse(time_point now, waiting_run const& refused, reason why,
                       effects& out) -> void
 {
-    // Nobody waits for the end of a reservation.
     if (refused.m_reserved != 0)
+    {
+        out.emplace_back(
+            send{refused.m_job->m_entry,
+                 reservation_dropped{refused.m_ref.m_job,
+                                     refused.m_ref.m_task.m_step}});
         return;
+    }
     out.emplace_back(
         log_line{log_level::info,
                  "run_refused",
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -129,7 +129,8 @@
             effects& out) -> void;
     auto on(time_point now, node_id from, contact_confirmed const& news,
             effects& out) -> void;
-    auto on(time_point now, node_id from, reserve_room const& wanted) -> void;
+    auto on(time_point now, node_id from, reserve_room const& wanted,
+            effects& out) -> void;
 
     auto begin_lifetime(time_point now, worker_report const& report,
                         effects& out) -> void;
--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -85,20 +85,41 @@
     return std::exchange(m_forecast, std::nullopt);
 }
 
-auto placed_job::reserved(std::uint32_t step, node_id agent) -> void
+auto placed_job::reserved(std::uint32_t step, node_id agent,
+                          std::uint32_t tasks) -> void
 {
-    m_reserved[step].insert(agent);
+    m_reserved[step][agent] = tasks;
+}
+
+auto placed_job::offered(std::uint32_t step, node_id agent, std::uint32_t tasks)
+    -> void
+{
+    auto const agents = m_reserved.find(step);
+    if (agents == m_reserved.end())
+        return;
+    auto const found = agents->second.find(agent);
+    if (found == agents->second.end())
+        return;
+    if (found->second <= tasks)
+        forget_reservation(step, agent);
+    else
+        found->second -= tasks;
+}
+
+auto placed_job::forget_reservation(std::uint32_t step, node_id agent) -> void
+{
+    auto const agents = m_reserved.find(step);
+    if (agents == m_reserved.end())
+        return;
+    agents->second.erase(agent);
+    if (agents->second.empty())
+        m_reserved.erase(agents);
 }
 
 auto placed_job::forget_reservations(node_id agent) -> void
 {
-    for (auto& [step, agents] : m_reserved)
-        agents.erase(agent);
-    std::erase_if(m_reserved,
-                  [](auto const& each)
-                  {
-                      return each.second.empty();
-                  });
+    for (auto step = std::uint32_t{0}; step < m_job.m_steps.size(); ++step)
+        forget_reservation(step, agent);
 }
 
 auto placed_job::take_reservations() -> std::set<node_id>
@@ -172,7 +193,8 @@
 {
     auto all = std::set<node_id>{};
     for (auto const& [step, agents] : m_reserved)
-        all.insert(agents.begin(), agents.end());
+        for (auto const& [agent, tasks] : agents)
+            all.insert(agent);
     return all;
 }
 
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -65,8 +65,14 @@
     /// The forecast when the job was taken; none if it had room at once or
     /// after the first call.
     auto take_forecast() -> std::optional<duration>;
-    /// Room for tasks of the step is reserved at an agent.
-    auto reserved(std::uint32_t step, node_id agent) -> void;
+    /// Room for some tasks of the step is reserved at an agent.
+    auto reserved(std::uint32_t step, node_id agent, std::uint32_t tasks)
+        -> void;
+    /// The agent offered room for some of the tasks that it was reserved for.
+    auto offered(std::uint32_t step, node_id agent, std::uint32_t tasks)
+        -> void;
+    /// The agent has no reservation for the step any more.
+    auto forget_reservation(std::uint32_t step, node_id agent) -> void;
     /// The agent has no reservation of this job any more.
     auto forget_reservations(node_id agent) -> void;
     /// Takes all reservations that may exist. Returns their agents.
@@ -103,8 +109,9 @@
     /// Tasks of each step that have not succeeded.
     std::vector<std::uint32_t> m_open;
     std::size_t m_open_tasks = 0;
-    /// Agents that may hold a reservation, by step.
-    std::map<std::uint32_t, std::set<node_id>> m_reserved;
+    /// By step: agents that may hold a reservation, and the tasks that they
+    /// have not offered room for.
+    std::map<std::uint32_t, std::map<node_id, std::uint32_t>> m_reserved;
     bool m_may_have_started = false;
     std::optional<duration> m_forecast;
 };
--- /dev/null
+++ b/tests/core/placement/test_broker.cpp
@@ -0,0 +1,174 @@
+#include "core/placement/broker.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace core = hickorylatch::core;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr auto first_agent = core::node_id{11};
+constexpr auto second_agent = core::node_id{12};
+constexpr auto task_needs = core::resources{1'000, 64, 0};
+
+/// One entry at work, driven without agents.
+struct entry_process
+{
+    entry_process()
+    {
+        auto change = core::configuration_changed{};
+        change.m_configuration.m_version = 1;
+        auto desk = core::service{};
+        desk.m_name = "desk";
+        change.m_configuration.m_services = {desk};
+        auto queue = core::job_queue{};
+        queue.m_name = "fast";
+        queue.m_host = "desk.example";
+        queue.m_path_prefix = "/fast/";
+        queue.m_service = "desk";
+        queue.m_slack_factor = 2.0;
+        queue.m_latency_ms = 2'000;
+        queue.m_run_limit = 3;
+        change.m_configuration.m_queues = {queue};
+        m_broker.start(m_now);
+        receive(core::node_id{1}, change);
+    }
+
+    auto receive(core::node_id from, core::message const& incoming) -> void
+    {
+        m_broker.receive(m_now, from, incoming, m_random, m_out);
+    }
+
+    /// Connects an agent whose worker has room for `free` tasks.
+    auto add_agent(core::node_id agent, std::uint32_t free) -> void
+    {
+        auto peer = core::hello{};
+        peer.m_node = agent;
+        peer.m_role = core::role::agent;
+        m_broker.connected(peer);
+        auto news = core::worker_announcement{};
+        news.m_worker.m_name =
+            "w" + std::to_string(static_cast<std::uint64_t>(agent));
+        news.m_worker.m_incarnation = 1;
+        news.m_worker.m_service = "desk";
+        news.m_worker.m_capacity = {4'000, 1'024, 0};
+        receive(agent, news);
+        auto load = core::worker_load{};
+        load.m_accepts = core::acceptance::full;
+        load.m_free = {free * task_needs.m_millicores, 1'024, 0};
+        load.m_sent_at = m_now;
+        receive(agent, load);
+    }
+
+    auto post_job(std::uint32_t tasks) -> void
+    {
+        auto request = core::job_arrived{};
+        request.m_exchange = 1;
+        request.m_host = "desk.example";
+        request.m_path = "/fast/jobs";
+        request.m_job.m_id = "00000000000000aa";
+        request.m_client_wait_ms = 5'000;
+        auto step = core::job_step{};
+        step.m_count = tasks;
+        step.m_needs = task_needs;
+        step.m_declared_ms = 100;
+        request.m_job.m_steps = {step};
+        m_broker.arrived(m_now, request, m_random, m_out);
+    }
+
+    auto offer(core::node_id agent, std::uint64_t number, std::uint64_t job,
+               std::uint32_t count) -> void
+    {
+        receive(agent, core::offer_room{number, job, 0, count});
+    }
+
+    auto pass_time(core::duration time) -> void
+    {
+        m_now += time;
+        m_broker.tick(m_now, m_random, m_out);
+    }
+
+    core::time_point m_now = milliseconds{1'000};
+    core::effects m_out;
+    core::random_source m_random;
+    core::broker m_broker{core::broker_settings{}};
+};
+
+/// The last message of a type sent to a process; null if there is none.
+template <typename Message>
+auto sent(core::effects const& out, core::node_id to) -> Message const*
+{
+    Message const* found = nullptr;
+    for (auto const& each : out)
+        if (auto const* sending = std::get_if<core::send>(&each);
+            sending != nullptr && sending->m_to == to)
+            if (auto const* content = std::get_if<Message>(&sending->m_message))
+                found = content;
+    return found;
+}
+
+/// The worker turned out to have no room for any run of an order.
+auto refuse_all(core::order_runs const& order) -> core::runs_ended
+{
+    auto news = core::runs_ended{};
+    news.m_number = 1;
+    for (auto const& run : order.m_runs)
+        news.m_ends.push_back({{order.m_job, run.m_task, run.m_run},
+                               core::run_outcome::refused,
+                               core::reason::queue_full,
+                               0});
+    return news;
+}
+
+} // namespace
+
+// Guards against a job that stands still because room was reserved for fewer
+// tasks than wait by now, and all of it has been offered.
+BOOST_AUTO_TEST_CASE(room_is_reserved_again_when_all_of_it_was_offered)
+{
+    auto entry = entry_process{};
+    entry.add_agent(first_agent, 3);
+    entry.add_agent(second_agent, 0);
+    entry.post_job(4);
+    auto const* ordered = sent<core::order_runs>(entry.m_out, first_agent);
+    BOOST_REQUIRE(ordered != nullptr);
+    BOOST_REQUIRE(ordered->m_runs.size() == 3U);
+    auto const* reserved = sent<core::reserve_room>(entry.m_out, second_agent);
+    BOOST_REQUIRE(reserved != nullptr);
+    BOOST_TEST(reserved->m_count == 1U);
+    auto const job = ordered->m_job;
+    entry.receive(first_agent, refuse_all(*ordered));
+    entry.offer(first_agent, 1, job, 1);
+    entry.offer(second_agent, 1, job, 1);
+    entry.m_out.clear();
+    entry.pass_time(milliseconds{50});
+    reserved = sent<core::reserve_room>(entry.m_out, second_agent);
+    BOOST_REQUIRE(reserved != nullptr);
+    BOOST_TEST(reserved->m_count == 2U);
+}
+
+// Guards against a job that waits for room at a worker that took its
+// reservation out of the queue, for instance because it drains.
+BOOST_AUTO_TEST_CASE(room_is_reserved_again_when_an_agent_dropped_it)
+{
+    auto entry = entry_process{};
+    entry.add_agent(first_agent, 0);
+    entry.post_job(1);
+    auto const* reserved = sent<core::reserve_room>(entry.m_out, first_agent);
+    BOOST_REQUIRE(reserved != nullptr);
+    auto const dropped =
+        core::reservation_dropped{reserved->m_job, reserved->m_step};
+    entry.pass_time(milliseconds{50});
+    entry.m_out.clear();
+    entry.pass_time(milliseconds{50});
+    BOOST_TEST(sent<core::reserve_room>(entry.m_out, first_agent) == nullptr);
+    entry.receive(first_agent, dropped);
+    entry.pass_time(milliseconds{50});
+    BOOST_TEST(sent<core::reserve_room>(entry.m_out, first_agent) != nullptr);
+}
