Log runs that are given up and tell missing lines once a second

The entry now logs run_lost with the task, the worker, the cause and how long the worker was silent. Notices of missing lines came with each line that fitted into the budget and used it up; they now come once a second at most.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -168,7 +168,8 @@
                 std::ranges::find(news.m_runs, ref) == news.m_runs.end();
             if (!is_lost)
                 continue;
-            job->second.came_back(task);
+            lose_run(job->second, task, "order lost with its link",
+                     now - found->second.m_confirmed_at, out);
             is_changed = true;
         }
         if (is_changed)
@@ -608,7 +609,8 @@
 auto broker::lose_runs(time_point now, node_id agent, random_source& random,
                        effects& out) -> void
 {
-    auto const jobs = std::exchange(m_agents.at(agent).m_jobs, {});
+    auto& contact = m_agents.at(agent);
+    auto const jobs = std::exchange(contact.m_jobs, {});
     for (auto const number : jobs)
     {
         auto const job = m_jobs.find(number);
@@ -616,11 +618,29 @@
             continue;
         for (auto& task : job->second.tasks())
             if (task.m_state == task_state::placed && task.m_agent == agent)
-                job->second.came_back(task);
+                lose_run(job->second, task, "no contact",
+                         now - contact.m_confirmed_at, out);
         carry_on(now, job, random, out);
     }
 }
 
+auto broker::lose_run(placed_job& job, placed_task& task,
+                      std::string_view cause, duration silence, effects& out)
+    -> void
+{
+    out.emplace_back(
+        log_line{log_level::warning,
+                 "run_lost",
+                 {{"job", job.job().m_id},
+                  {"task", std::to_string(task.m_index.m_step) + "." +
+                               std::to_string(task.m_index.m_task)},
+                  {"run", std::to_string(task.m_run)},
+                  {"worker", std::string{m_workers.worker_name(task.m_agent)}},
+                  {"cause", std::string{cause}},
+                  {"silent_ms", ms_field(silence)}}});
+    job.came_back(task);
+}
+
 auto broker::tick(time_point now, random_source& random, effects& out) -> void
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -113,6 +114,9 @@
         -> log_line;
     auto lose_runs(time_point now, node_id agent, random_source& random,
                    effects& out) -> void;
+    /// A run has certainly ended, or never started, without a word of its end.
+    auto lose_run(placed_job& job, placed_task& task, std::string_view cause,
+                  duration silence, effects& out) -> void;
     /// Places what came back, or ends the job if that is of no use.
     auto carry_on(time_point now, live_jobs::iterator job,
                   random_source& random, effects& out) -> void;
--- a/src/observe/log_budget.cpp
+++ b/src/observe/log_budget.cpp
@@ -7,6 +7,13 @@
 namespace hickorylatch::observe
 {
 
+namespace
+{
+
+constexpr auto report_interval = std::chrono::seconds{1};
+
+} // namespace
+
 log_budget::log_budget(log_budget_settings settings)
     : m_settings{settings}, m_left{settings.m_burst}
 {
@@ -35,4 +42,12 @@
     return std::exchange(m_suppressed, 0);
 }
 
+auto log_budget::take_report(core::time_point now) -> bool
+{
+    if (now < m_report_at)
+        return false;
+    m_report_at = now + report_interval;
+    return true;
+}
+
 } // namespace hickorylatch::observe
--- a/src/observe/log_budget.hpp
+++ b/src/observe/log_budget.hpp
@@ -34,11 +34,15 @@
     auto take(core::time_point now, core::log_level level) -> bool;
     /// Lines suppressed since the last call.
     auto take_suppressed() -> std::uint64_t;
+    /// True at most once a second, when missing lines may be told. A notice
+    /// beside each line would use up the budget in a burst.
+    auto take_report(core::time_point now) -> bool;
 
 private:
     log_budget_settings m_settings;
     double m_left;
     core::time_point m_filled_at{0};
+    core::time_point m_report_at{0};
     std::uint64_t m_suppressed = 0;
 };
 
--- a/src/observe/logger.cpp
+++ b/src/observe/logger.cpp
@@ -180,17 +180,21 @@
 {
     auto const level = to_log4cplus(line.m_level);
     auto& [hierarchy, target, budget, output] = *m_state;
-    if (!target.isEnabledFor(level) || !budget.take(steady_now(), line.m_level))
+    auto const now = steady_now();
+    if (!target.isEnabledFor(level) || !budget.take(now, line.m_level))
         return;
-    auto const suppressed = budget.take_suppressed();
-    auto const dropped = output == nullptr ? 0 : output->take_dropped();
-    if (suppressed != 0 || dropped != 0)
-        target.forcedLog(
-            log4cplus::WARN_LOG_LEVEL,
-            print_log_line({core::log_level::warning,
-                            "log_lines_left_out",
-                            {{"over_budget", std::to_string(suppressed)},
-                             {"output_full", std::to_string(dropped)}}}));
+    if (budget.take_report(now))
+    {
+        auto const suppressed = budget.take_suppressed();
+        auto const dropped = output == nullptr ? 0 : output->take_dropped();
+        if (suppressed != 0 || dropped != 0)
+            target.forcedLog(
+                log4cplus::WARN_LOG_LEVEL,
+                print_log_line({core::log_level::warning,
+                                "log_lines_left_out",
+                                {{"over_budget", std::to_string(suppressed)},
+                                 {"output_full", std::to_string(dropped)}}}));
+    }
     target.forcedLog(level, print_log_line(line));
 }
 
--- a/tests/core/placement/test_broker.cpp
+++ b/tests/core/placement/test_broker.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -172,3 +173,26 @@
     entry.pass_time(milliseconds{50});
     BOOST_TEST(sent<core::reserve_room>(entry.m_out, first_agent) != nullptr);
 }
+
+// Guards against a job that is late because a run was ordered twice, while no
+// line of its entry tells why.
+BOOST_AUTO_TEST_CASE(a_run_that_is_given_up_is_logged)
+{
+    auto entry = entry_process{};
+    entry.add_agent(first_agent, 1);
+    entry.post_job(1);
+    BOOST_REQUIRE(sent<core::order_runs>(entry.m_out, first_agent) != nullptr);
+    entry.m_broker.disconnected(entry.m_now, first_agent);
+    entry.m_out.clear();
+    entry.pass_time(milliseconds{3'000});
+    auto const found = std::ranges::find_if(
+        entry.m_out,
+        [](core::effect const& each)
+        {
+            auto const* line = std::get_if<core::log_line>(&each);
+            return line != nullptr && line->m_event == "run_lost";
+        });
+    BOOST_REQUIRE(found != entry.m_out.end());
+    auto const& fields = std::get<core::log_line>(*found).m_fields;
+    BOOST_TEST(fields.front().second == "00000000000000aa");
+}
--- a/tests/observe/test_logger.cpp
+++ b/tests/observe/test_logger.cpp
@@ -116,6 +116,18 @@
     BOOST_TEST(take(seconds{1'000}, core::log_level::error) == 30);
 }
 
+// Guards against a burst in which the notices of missing lines outnumber the
+// lines.
+BOOST_AUTO_TEST_CASE(missing_lines_are_told_once_a_second)
+{
+    using std::chrono::milliseconds;
+    auto budget = log_budget{};
+    BOOST_TEST(budget.take_report(milliseconds{1'000}));
+    BOOST_TEST(!budget.take_report(milliseconds{1'001}));
+    BOOST_TEST(!budget.take_report(milliseconds{1'999}));
+    BOOST_TEST(budget.take_report(milliseconds{2'000}));
+}
+
 // Guards against a process that stands still because nobody reads its log.
 BOOST_AUTO_TEST_CASE(a_full_pipe_takes_no_line_and_no_time)
 {
