Forecast waits for room by the turnover of each worker

Cause: the wait for room was the number of tasks over the sum of 1/wait of the workers. In an overload the wait at each worker is a queue, not the time in which one task ends, so eleven queues of 500 ms counted as 45 ms.

Ruled out: load reports that are too old (load_age_ms=0 in these lines) and the admission limit itself (longest_wait_ms did not change).

Now the wait is that of the last task if each goes to the worker that has room first, and a worker has room again after its run time over the tasks that fit.

long_queues_at_many_workers_are_not_a_short_wait failed before the change.

--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -1,6 +1,8 @@
 #include "core/placement/admission.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace hickorylatch::core
 {
@@ -23,4 +25,20 @@
         std::chrono::duration<double, duration::period>(slack) * wait_share);
 }
 
+auto wait_for_room(std::span<placement_choice const> workers,
+                   std::uint32_t tasks) -> duration
+{
+    auto next = std::vector<std::pair<duration, duration>>{};
+    for (auto const& each : workers)
+        next.emplace_back(each.m_wait, each.m_turnover);
+    auto latest = duration{0};
+    for (auto task = std::uint32_t{0}; task < tasks && !next.empty(); ++task)
+    {
+        auto& [wait, turnover] = *std::ranges::min_element(next);
+        latest = wait;
+        wait += turnover;
+    }
+    return latest;
+}
+
 } // namespace hickorylatch::core
--- a/src/core/placement/admission.hpp
+++ b/src/core/placement/admission.hpp
@@ -2,6 +2,10 @@
 #define HICKORYLATCH_CORE_PLACEMENT_ADMISSION_HPP
 
 #include "core/model/time.hpp"
+#include "core/placement/worker_directory.hpp"
+
+#include <cstdint>
+#include <span>
 
 namespace hickorylatch::core
 {
@@ -14,6 +18,12 @@
 /// until every job is late, and with one the jobs that are taken are in time.
 [[nodiscard]] auto longest_wait(duration objective, duration run) -> duration;
 
+/// Wait until workers have had room for all of `tasks`, each at the first one
+/// that has room. Answers loads above the capacity, where each worker has a
+/// queue: many long queues are still a long wait.
+[[nodiscard]] auto wait_for_room(std::span<placement_choice const> workers,
+                                 std::uint32_t tasks) -> duration;
+
 } // namespace hickorylatch::core
 
 #endif
--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/job_planner.hpp"
 
+#include "core/placement/admission.hpp"
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -17,8 +19,6 @@
 // tasks need at least so many places that one frees soon.
 constexpr auto reservations_per_task = std::size_t{2};
 constexpr auto fewest_reservations = std::size_t{12};
-// Waits that a load tells are whole milliseconds.
-constexpr auto least_wait = duration{1'000};
 
 auto to_ms(duration value) -> std::uint32_t
 {
@@ -107,12 +107,7 @@
         m_workers.ordered(each.m_agent, order.m_order, order.m_needs,
                           wanted.m_expected * tasks * share / 1'000);
     }
-    // Room frees at each worker about once in its wait for one task.
-    auto rate = 0.0;
-    for (auto const& each : agents)
-        rate += 1.0 /
-                static_cast<double>(std::max(each.m_wait, least_wait).count());
-    auto const forecast = duration{static_cast<duration::rep>(tasks / rate)};
+    auto const forecast = wait_for_room(agents, tasks);
     auto const wait =
         m_corrections[job.queue().m_rank].corrected(now, forecast);
     made.m_forecast = std::max(made.m_forecast, forecast);
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -222,6 +222,10 @@
     choice.m_run = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, duration::period>(wanted.m_expected) *
         factor);
+    choice.m_turnover =
+        choice.m_run /
+        std::max(worker.m_news.m_worker.m_capacity.copies_of(step.m_needs),
+                 std::uint32_t{1});
     choice.m_cost = choice.m_wait * wait_weight + choice.m_run;
     return choice;
 }
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -40,6 +40,8 @@
     duration m_run{0};
     /// Tasks like this one for which there is room now.
     std::uint32_t m_room = 0;
+    /// Time between two ends of such tasks at a worker that is full of them.
+    duration m_turnover{0};
     /// What choices are compared by; a time.
     duration m_cost{0};
 };
--- a/tests/core/placement/test_broker.cpp
+++ b/tests/core/placement/test_broker.cpp
@@ -46,8 +46,10 @@
         m_broker.receive(m_now, from, incoming, m_random, m_out);
     }
 
-    /// Connects an agent whose worker has room for `free` tasks.
-    auto add_agent(core::node_id agent, std::uint32_t free) -> void
+    /// Connects an agent whose worker has room for `free` tasks, or lets tasks
+    /// of rank 0 wait.
+    auto add_agent(core::node_id agent, std::uint32_t free,
+                   std::uint32_t wait_ms = 0) -> void
     {
         auto peer = core::hello{};
         peer.m_node = agent;
@@ -63,6 +65,8 @@
         auto load = core::worker_load{};
         load.m_accepts = core::acceptance::full;
         load.m_free = {free * task_needs.m_millicores, 1'024, 0};
+        if (wait_ms != 0)
+            load.m_waits = {{0, wait_ms}};
         load.m_sent_at = m_now;
         receive(agent, load);
     }
@@ -196,3 +200,15 @@
     auto const& fields = std::get<core::log_line>(*found).m_fields;
     BOOST_TEST(fields.front().second == "00000000000000aa");
 }
+
+// Guards against jobs that are taken in an overload because two workers with a
+// long queue count as one with half of it.
+BOOST_AUTO_TEST_CASE(long_queues_at_many_workers_are_not_a_short_wait)
+{
+    auto entry = entry_process{};
+    entry.add_agent(first_agent, 0, 1'500);
+    entry.add_agent(second_agent, 0, 1'500);
+    // The job may wait for 1,050 ms.
+    entry.post_job(1);
+    BOOST_TEST(entry.m_broker.jobs() == 0U);
+}
