Count ends of runs on when an entry was forgotten

The agents had ended all of the runs with success, but the entry never acted on the ends: an agent that forgets an entry counted its runs_ended from 1 again, and the entry, which was frozen and remembered the agent, took the low numbers for messages that it had already had.

Ruled out: hung workers (run_ended outcome=succeeded for each task), lost links (no link_closed after 20.3 s) and load (jobs at other entries were in time).

Now an agent has one counter for all entries, which never starts again.

ends_are_counted_on_after_an_entry_was_forgotten failed before the change.

--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -612,7 +612,7 @@
 /// Ends of the receiver's runs. Sent again on a new link until confirmed.
 struct runs_ended
 {
-    /// Counts these messages of the agent to this entry, from 1.
+    /// Counts these messages of the agent to all entries, from 1.
     std::uint64_t m_number = 0;
     std::vector<run_end> m_ends;
 };
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -916,7 +916,7 @@
     {
         if (entry.m_new_ends.empty())
             continue;
-        auto news = runs_ended{++entry.m_ends, std::move(entry.m_new_ends)};
+        auto news = runs_ended{++m_last_ends, std::move(entry.m_new_ends)};
         entry.m_new_ends.clear();
         entry.m_unconfirmed.push_back(news);
         if (entry.m_is_connected && entry.m_is_announced)
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -114,7 +114,6 @@
         time_point m_until{0};
         /// That time has passed, and its runs were told to stop.
         bool m_is_expired = true;
-        std::uint64_t m_ends = 0;
         std::deque<runs_ended> m_unconfirmed;
         /// Ends of this turn, not sent yet.
         std::vector<run_end> m_new_ends;
@@ -211,6 +210,9 @@
     room_offers m_offers;
     live_runs m_live;
     std::map<node_id, contact> m_contacts;
+    /// Number of the last `runs_ended`. One for all entries: an entry that was
+    /// frozen knows numbers of a contact that is forgotten here.
+    std::uint64_t m_last_ends = 0;
 
     worker_polls m_polls;
     /// Send time of the newest list that was taken into account. Answers on
--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <variant>
 
 namespace core = hickorylatch::core;
 
@@ -109,3 +111,37 @@
     BOOST_TEST(agent.running() == 0U);
     BOOST_TEST(ends(out) == 1);
 }
+
+// Guards against an entry that never hears of an end because it takes it for
+// one that it had: it was frozen, and the agent has forgotten it meanwhile.
+BOOST_AUTO_TEST_CASE(ends_are_counted_on_after_an_entry_was_forgotten)
+{
+    // A run that fits no worker ends at once.
+    auto const refused = [](core::executor& agent, core::time_point now)
+    {
+        auto order = make_order();
+        order.m_runs.front().m_needs = {99'000, 64, 0};
+        auto out = core::effects{};
+        agent.receive(now, entry, order, out);
+        auto number = std::uint64_t{0};
+        for (auto const& each : out)
+            if (auto const* sent = std::get_if<core::send>(&each))
+                if (auto const* news =
+                        std::get_if<core::runs_ended>(&sent->m_message))
+                    number = news->m_number;
+        return number;
+    };
+    auto out = core::effects{};
+    auto agent = make_agent(out);
+    auto const first = refused(agent, milliseconds{1'010});
+    BOOST_TEST(first != 0U);
+    agent.disconnected(milliseconds{1'500}, entry, out);
+    agent.tick(milliseconds{3'000}, out);
+    auto peer = core::hello{};
+    peer.m_node = entry;
+    peer.m_role = core::role::entry;
+    agent.connected(milliseconds{3'010}, peer, out);
+    agent.receive(milliseconds{3'011}, entry,
+                  core::contact_confirmed{milliseconds{3'010}, first, 0}, out);
+    BOOST_TEST(refused(agent, milliseconds{3'020}) > first);
+}
