Name the worker of a run that is lost with its agent

The entry now keeps the name with its contact.

a_run_that_is_given_up_is_logged failed before the change.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -150,6 +150,7 @@
     auto const found = m_agents.find(from);
     if (found == m_agents.end())
         return;
+    found->second.m_worker = news.m_worker.m_name;
     // Orders that were lost with an earlier link are not listed.
     auto const jobs = found->second.m_jobs;
     for (auto const number : jobs)
@@ -635,7 +636,7 @@
                   {"task", std::to_string(task.m_index.m_step) + "." +
                                std::to_string(task.m_index.m_task)},
                   {"run", std::to_string(task.m_run)},
-                  {"worker", std::string{m_workers.worker_name(task.m_agent)}},
+                  {"worker", m_agents.at(task.m_agent).m_worker},
                   {"cause", std::string{cause}},
                   {"silent_ms", ms_field(silence)}}});
     job.came_back(task);
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -70,6 +70,9 @@
     struct agent_contact
     {
         bool m_is_connected = false;
+        /// Name of the worker beside it, for logs about runs that were lost
+        /// with the agent: the directory has no view of it by then.
+        std::string m_worker;
         std::uint64_t m_ends = 0;
         /// Last time that runs there were confirmed to be wanted.
         time_point m_confirmed_at{0};
--- a/tests/core/placement/test_broker.cpp
+++ b/tests/core/placement/test_broker.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace core = hickorylatch::core;
@@ -199,6 +200,10 @@
     BOOST_REQUIRE(found != entry.m_out.end());
     auto const& fields = std::get<core::log_line>(*found).m_fields;
     BOOST_TEST(fields.front().second == "00000000000000aa");
+    auto const worker = std::ranges::find(
+        fields, "worker", &std::pair<std::string, std::string>::first);
+    BOOST_REQUIRE(worker != fields.end());
+    BOOST_TEST(worker->second == "w11");
 }
 
 // Guards against jobs that are taken in an overload because two workers with a
