--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -124,7 +124,7 @@
 
 auto placed_job::take_reservations() -> std::set<node_id>
 {
-    auto const all = reservations();
+    auto all = reservations();
     m_reserved.clear();
     return all;
 }
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -152,8 +152,10 @@
     }
     // Agents are in the same order everywhere; equal costs must not be.
     auto const first = found.empty() ? 0 : random.number() % found.size();
-    std::ranges::rotate(found,
-                        found.begin() + static_cast<std::ptrdiff_t>(first));
+    // clang's analysis can't compile `std::ranges::rotate` of this library.
+    std::rotate(found.begin(),
+                found.begin() + static_cast<std::ptrdiff_t>(first),
+                found.end());
     std::ranges::stable_sort(found, {}, &placement_choice::m_cost);
     found.resize(std::min(found.size(), count));
     std::ranges::stable_sort(found, {}, &placement_choice::m_wait);
