--- a/src/core/model/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -222,6 +222,9 @@
     double m_value = 1;
 };
 
+/// Counts a request or job that was refused or failed.
+[[nodiscard]] auto count_refusal(verdict const& why) -> observe_metric;
+
 /// Nothing is in progress any more; the process exits with code 0.
 struct exit_process
 {
--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -21,8 +21,7 @@
 auto longest_wait(duration objective, duration run) -> duration
 {
     auto const slack = std::max(objective - run, duration{0});
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(slack) * wait_share);
+    return scaled(slack, wait_share);
 }
 
 auto wait_for_room(std::span<placement_choice const> workers,
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/broker.hpp"
 
 #include "core/placement/admission.hpp"
+#include "core/placement/log_fields.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -41,36 +42,11 @@
 constexpr auto busy_retry_ms = std::uint32_t{1000};
 constexpr auto draining_retry_ms = std::uint32_t{1};
 
-auto count_refusal(verdict const& why) -> observe_metric
-{
-    return {"hickorylatch_refusals_total",
-            {{"verdict", std::string{to_string(why.m_run)}},
-             {"reason", std::string{to_string(why.m_reason)}}}};
-}
-
 auto job_verdict(run_state state, reason why) -> verdict
 {
     return {state, why, {}, 0};
 }
 
-auto to_ms(duration value) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::max(value, duration{0}))
-            .count());
-}
-
-auto ms_field(duration value) -> std::string
-{
-    return std::to_string(to_ms(value));
-}
-
-auto seconds(duration value) -> double
-{
-    return std::chrono::duration<double>{value}.count();
-}
-
 } // namespace
 
 broker::broker(broker_settings settings)
@@ -229,9 +205,7 @@
         out.emplace_back(send{from, decline_room{offered.m_offer}});
         return;
     }
-    auto made = job_plan{};
-    made.m_orders.emplace(from, std::move(*order));
-    carry_out(found->second, std::move(made), out);
+    send_order(found->second, from, std::move(*order), out);
     if (!found->second.has_ready_tasks())
         note_placed(now, found->second, out);
 }
@@ -276,8 +250,7 @@
         log_line{log_level::info,
                  "run_came_back",
                  {{"job", job->second.job().m_id},
-                  {"task", std::to_string(task->m_index.m_step) + "." +
-                               std::to_string(task->m_index.m_task)},
+                  {"task", task_field(task->m_index)},
                   {"run", std::to_string(end.m_run.m_run)},
                   {"worker", std::string{m_workers.worker_name(agent)}},
                   {"outcome", std::string{to_string(end.m_outcome)}},
@@ -300,12 +273,11 @@
                       random_source& random, effects& out) -> void
 {
     auto made = m_planner.plan(now, job->second, random);
-    auto const is_whole = made.m_unplaced == 0 && made.m_reservations.empty();
     carry_out(job->second, std::move(made), out);
-    if (is_whole && !job->second.has_ready_tasks())
-        m_unplaced.erase(job->first);
-    else
+    if (job->second.has_ready_tasks())
         retry_later(now, job->first);
+    else
+        m_unplaced.erase(job->first);
 }
 
 auto broker::retry_later(time_point now, std::uint64_t job) -> void
@@ -385,7 +357,7 @@
         return;
     for (auto& [arrived_at, request] : std::exchange(m_early, {}))
     {
-        auto const waited = to_ms(now - arrived_at);
+        auto const waited = whole_ms(now - arrived_at);
         if (request.m_client_wait_ms != 0)
             request.m_client_wait_ms -=
                 std::min(waited, request.m_client_wait_ms - 1);
@@ -419,7 +391,7 @@
         m_planner.drop(made);
         finish(now, job,
                refused(reason::no_capacity, "expected to be late",
-                       std::max(to_ms(made.m_wait - limit), busy_retry_ms)),
+                       std::max(whole_ms(made.m_wait - limit), busy_retry_ms)),
                job_state::failed, out);
         return;
     }
@@ -462,16 +434,7 @@
 auto broker::carry_out(placed_job& job, job_plan&& wanted, effects& out) -> void
 {
     for (auto& [agent, order] : wanted.m_orders)
-    {
-        for (auto const& run : order.m_runs)
-        {
-            auto& task = *job.find(run.m_task);
-            task.m_run = run.m_run;
-            job.ordered(task, agent, order.m_order);
-        }
-        m_agents[agent].m_jobs.insert(job.number());
-        out.emplace_back(send{agent, std::move(order)});
-    }
+        send_order(job, agent, std::move(order), out);
     for (auto& [agent, reservation] : wanted.m_reservations)
     {
         job.reserved(reservation.m_step, agent, reservation.m_count);
@@ -479,6 +442,19 @@
     }
 }
 
+auto broker::send_order(placed_job& job, node_id agent, order_runs&& order,
+                        effects& out) -> void
+{
+    for (auto const& run : order.m_runs)
+    {
+        auto& task = *job.find(run.m_task);
+        task.m_run = run.m_run;
+        job.ordered(task, agent, order.m_order);
+    }
+    m_agents[agent].m_jobs.insert(job.number());
+    out.emplace_back(send{agent, std::move(order)});
+}
+
 auto broker::release(placed_job& job, effects& out) -> void
 {
     for (auto const agent : job.take_reservations())
@@ -580,7 +556,7 @@
     out.emplace_back(observe_metric{"hickorylatch_job_seconds",
                                     {{"queue", ended.queue().m_name},
                                      {"state", std::string{to_string(state)}}},
-                                    seconds(now - ended.arrived())});
+                                    to_seconds(now - ended.arrived())});
     if (outcome.m_run != core::run_state::ran)
         out.emplace_back(count_refusal(outcome));
     withdraw(ended, out);
@@ -629,16 +605,14 @@
                       std::string_view cause, duration silence, effects& out)
     -> void
 {
-    out.emplace_back(
-        log_line{log_level::warning,
-                 "run_lost",
-                 {{"job", job.job().m_id},
-                  {"task", std::to_string(task.m_index.m_step) + "." +
-                               std::to_string(task.m_index.m_task)},
-                  {"run", std::to_string(task.m_run)},
-                  {"worker", m_agents.at(task.m_agent).m_worker},
-                  {"cause", std::string{cause}},
-                  {"silent_ms", ms_field(silence)}}});
+    out.emplace_back(log_line{log_level::warning,
+                              "run_lost",
+                              {{"job", job.job().m_id},
+                               {"task", task_field(task.m_index)},
+                               {"run", std::to_string(task.m_run)},
+                               {"worker", m_agents.at(task.m_agent).m_worker},
+                               {"cause", std::string{cause}},
+                               {"silent_ms", ms_field(silence)}}});
     job.came_back(task);
 }
 
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -111,6 +111,8 @@
         -> void;
 
     auto carry_out(placed_job& job, job_plan&& wanted, effects& out) -> void;
+    auto send_order(placed_job& job, node_id agent, order_runs&& order,
+                    effects& out) -> void;
     /// What decided whether a job is taken, and where its tasks go.
     [[nodiscard]] auto describe(time_point now, placed_job const& job,
                                 job_plan const& made, duration longest) const
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/executor.hpp"
 
+#include "core/placement/log_fields.hpp"
+
 #include <algorithm>
 #include <set>
 #include <string>
@@ -36,34 +38,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
-auto ms_field(duration value) -> std::string
-{
-    return std::to_string(to_milliseconds(value));
-}
-
-auto seconds(duration value) -> double
-{
-    return std::chrono::duration<double>{value}.count();
-}
-
-auto node_field(node_id node) -> std::string
-{
-    return std::to_string(static_cast<std::uint64_t>(node));
-}
-
 auto count_run(run_outcome outcome) -> observe_metric
 {
     return {"hickorylatch_runs_total",
             {{"outcome", std::string{to_string(outcome)}}}};
 }
 
-auto run_field(std::string const& job, task_index task, std::uint32_t run)
-    -> std::string
-{
-    return job + "." + std::to_string(task.m_step) + "." +
-           std::to_string(task.m_task) + "#" + std::to_string(run);
-}
-
 } // namespace
 
 executor::executor(executor_settings settings)
@@ -381,8 +361,7 @@
         m_polls.want_list();
         break;
     case worker_answer::fenced:
-        m_token =
-            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+        raise_token(now);
         order_start(now, *found, out);
         break;
     case worker_answer::outdated:
@@ -409,8 +388,7 @@
 {
     m_clock.observe(now, answer.m_clock_ms);
     if (answer.m_answer == worker_answer::fenced)
-        m_token =
-            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+        raise_token(now);
     auto const found =
         m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
     if (found != m_live.end() && found->second.m_number == answer.m_run.m_run &&
@@ -465,8 +443,7 @@
     // The acknowledgement may be lost with it.
     m_has_unacknowledged = true;
     if (answer.m_answer == worker_answer::fenced)
-        m_token =
-            std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+        raise_token(now);
     // Another lifetime answers: nothing of the old one runs any more.
     if (answer.m_answer == worker_answer::other_lifetime ||
         answer.m_answer == worker_answer::accepted)
@@ -681,8 +658,7 @@
     report.m_run = run.m_ref;
     report.m_outcome = outcome;
     report.m_reason = run.m_is_hung ? reason::call_failed : why;
-    report.m_run_ms =
-        static_cast<std::uint32_t>(to_milliseconds(now - run.m_started_at));
+    report.m_run_ms = whole_ms(now - run.m_started_at);
     contact->second.m_new_ends.push_back(report);
 }
 
@@ -707,9 +683,9 @@
     out.emplace_back(
         observe_metric{"hickorylatch_run_wait_seconds",
                        {},
-                       seconds(run.m_started_at - run.m_queued_at)});
+                       to_seconds(run.m_started_at - run.m_queued_at)});
     out.emplace_back(observe_metric{
-        "hickorylatch_run_seconds", {}, seconds(now - run.m_started_at)});
+        "hickorylatch_run_seconds", {}, to_seconds(now - run.m_started_at)});
 }
 
 auto executor::learn(time_point now, live_run const& ended, run_outcome outcome)
@@ -798,10 +774,8 @@
                 "run_hung",
                 {{"run", run_field(current->first.first, current->first.second,
                                    run.m_number)},
-                 {"expected_ms",
-                  std::to_string(to_milliseconds(run.m_expected))},
-                 {"ran_ms",
-                  std::to_string(to_milliseconds(now - run.m_started_at))}}});
+                 {"expected_ms", ms_field(run.m_expected)},
+                 {"ran_ms", ms_field(now - run.m_started_at)}}});
             order_stop(now, *current, out);
         }
         else if (now >= run.m_stop_again_at &&
@@ -895,8 +869,7 @@
         order.m_poll = due->m_number;
         order.m_target = target();
         order.m_acknowledged = m_acknowledged;
-        order.m_wait_ms =
-            static_cast<std::uint32_t>(to_milliseconds(due->m_wait));
+        order.m_wait_ms = whole_ms(due->m_wait);
         // A worker that does not answer is left to let its runs lapse.
         if (m_polls.is_reachable() && !m_live.empty())
         {
@@ -971,9 +944,7 @@
     auto releases = std::vector<room_release>{};
     for (auto const& [key, run] : m_live)
     {
-        auto const expected = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, duration::period>(run.m_expected) *
-            slowness);
+        auto const expected = scaled(run.m_expected, slowness);
         releases.push_back(
             {std::max(now, run.m_started_at + expected), run.m_needs});
     }
@@ -1012,6 +983,12 @@
     return room.fits(wanted.m_needs);
 }
 
+auto executor::raise_token(time_point now) -> void
+{
+    m_token =
+        std::max(m_token + 1, static_cast<std::uint64_t>(m_clock.at(now)));
+}
+
 auto executor::target() const -> worker_target
 {
     return {m_worker->m_name, m_token};
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -183,6 +183,8 @@
     /// Why the run of an order is refused; `none` if it is not.
     [[nodiscard]] auto refusal(time_point now, waiting_run const& wanted,
                                contact const& entry) const -> reason;
+    /// Takes a token that is larger than one which the worker has seen.
+    auto raise_token(time_point now) -> void;
     [[nodiscard]] auto target() const -> worker_target;
     [[nodiscard]] auto hang_limit(time_point now, live_run const& run) const
         -> duration;
--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -20,14 +20,6 @@
 constexpr auto reservations_per_task = std::size_t{2};
 constexpr auto fewest_reservations = std::size_t{12};
 
-auto to_ms(duration value) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::max(value, duration{0}))
-            .count());
-}
-
 } // namespace
 
 job_planner::job_planner(worker_directory& workers) : m_workers{workers}
@@ -75,11 +67,7 @@
     if (job.has_reservations(step))
         return;
     auto const& wanted_step = job.job().m_steps[step];
-    auto wanted = placement_request{};
-    wanted.m_service = job.queue().m_service;
-    wanted.m_rank = job.queue().m_rank;
-    wanted.m_step = &wanted_step;
-    wanted.m_expected = expected_run(job.queue(), wanted_step);
+    auto wanted = request(job.queue(), wanted_step);
     auto const full = agents_at_limit(job, made, step);
     wanted.m_avoided = full;
     auto const count = std::max(std::size_t{tasks} * reservations_per_task,
@@ -99,10 +87,10 @@
         order.m_step = step;
         order.m_rank = job.queue().m_rank;
         order.m_needs = wanted_step.m_needs;
-        order.m_expected_ms = to_ms(wanted.m_expected);
+        order.m_expected_ms = whole_ms(wanted.m_expected);
         order.m_count = tasks;
         order.m_share_permille = share;
-        order.m_time_left_ms = to_ms(job.deadline() - now);
+        order.m_time_left_ms = whole_ms(job.deadline() - now);
         made.m_reservations.emplace_back(each.m_agent, order);
         m_workers.ordered(each.m_agent, order.m_order, order.m_needs,
                           wanted.m_expected * tasks * share / 1'000);
@@ -161,7 +149,7 @@
     auto const& step = job.step(task);
     auto const expected = expected_run(job.queue(), step);
     order.m_runs.push_back(
-        {task.m_index, task.m_run + 1, step.m_needs, to_ms(expected)});
+        {task.m_index, task.m_run + 1, step.m_needs, whole_ms(expected)});
     m_workers.ordered(agent, order.m_order, step.m_needs, expected);
 }
 
@@ -172,7 +160,7 @@
     order.m_job_id = job.job().m_id;
     order.m_body = job.job().m_body;
     order.m_rank = job.queue().m_rank;
-    order.m_time_left_ms = to_ms(job.deadline() - now);
+    order.m_time_left_ms = whole_ms(job.deadline() - now);
 }
 
 auto job_planner::choose(time_point now, placed_job const& job,
@@ -180,11 +168,7 @@
                          random_source& random) const
     -> std::optional<placement_choice>
 {
-    auto wanted = placement_request{};
-    wanted.m_service = job.queue().m_service;
-    wanted.m_rank = job.queue().m_rank;
-    wanted.m_step = &job.step(task);
-    wanted.m_expected = expected_run(job.queue(), job.step(task));
+    auto wanted = request(job.queue(), job.step(task));
     auto const full = agents_at_limit(job, made, task.m_index.m_step);
     auto avoided = task.m_avoided;
     avoided.insert(avoided.end(), full.begin(), full.end());
@@ -225,12 +209,21 @@
         chains.push_back(before + expected_run(job.queue(), step));
     }
     auto const longest = std::ranges::max(chains);
-    return std::chrono::duration_cast<duration>(
-               std::chrono::duration<double, duration::period>(longest) *
-               job.queue().m_slack_factor) +
+    return scaled(longest, job.queue().m_slack_factor) +
            std::chrono::milliseconds{job.queue().m_latency_ms};
 }
 
+auto job_planner::request(job_queue const& queue, job_step const& step) const
+    -> placement_request
+{
+    auto wanted = placement_request{};
+    wanted.m_service = queue.m_service;
+    wanted.m_rank = queue.m_rank;
+    wanted.m_step = &step;
+    wanted.m_expected = expected_run(queue, step);
+    return wanted;
+}
+
 auto job_planner::expected_run(job_queue const& queue,
                                job_step const& step) const -> duration
 {
--- a/src/core/placement/job_planner.hpp
+++ b/src/core/placement/job_planner.hpp
@@ -64,6 +64,9 @@
     [[nodiscard]] auto objective(placed_job const& job) const -> duration;
 
 private:
+    /// Where the tasks of a step could go, nowhere excepted.
+    [[nodiscard]] auto request(job_queue const& queue,
+                               job_step const& step) const -> placement_request;
     [[nodiscard]] auto expected_run(job_queue const& queue,
                                     job_step const& step) const -> duration;
     /// Agents that hold as many tasks of the step as it allows on one worker.
--- a/src/core/placement/run_queue.cpp
+++ b/src/core/placement/run_queue.cpp
@@ -63,10 +63,7 @@
             if (wait_for(waiting.m_needs) == never)
                 return false;
             run(waiting.m_needs,
-                std::chrono::duration_cast<duration>(
-                    std::chrono::duration<double, duration::period>(
-                        waiting.m_expected) *
-                    std::min(left, 1.0)));
+                scaled(waiting.m_expected, std::min(left, 1.0)));
         }
         return true;
     }
--- a/src/core/placement/wait_correction.cpp
+++ b/src/core/placement/wait_correction.cpp
@@ -36,8 +36,7 @@
     auto const factor = std::clamp((m_actual * kept + prior_us) /
                                        (m_forecast * kept + prior_us),
                                    lowest_factor, highest_factor);
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(forecast) * factor);
+    return scaled(forecast, factor);
 }
 
 auto wait_correction::remaining(time_point now) const -> double
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -113,15 +113,7 @@
                               random_source& random) const
     -> std::optional<placement_choice>
 {
-    auto found = std::vector<placement_choice>{};
-    for (auto const& [agent, worker] : m_workers)
-    {
-        if (!takes(now, agent, worker, wanted))
-            continue;
-        auto choice = assess(worker, wanted);
-        choice.m_agent = agent;
-        found.push_back(choice);
-    }
+    auto found = candidates(now, wanted, acceptance::trial);
     if (found.empty())
         return std::nullopt;
     auto const best = std::ranges::min(found, {}, &placement_choice::m_cost);
@@ -140,16 +132,7 @@
                                std::size_t count, random_source& random) const
     -> std::vector<placement_choice>
 {
-    auto found = std::vector<placement_choice>{};
-    for (auto const& [agent, worker] : m_workers)
-    {
-        if (!takes(now, agent, worker, wanted) ||
-            worker.m_load.m_accepts != acceptance::full)
-            continue;
-        auto choice = assess(worker, wanted);
-        choice.m_agent = agent;
-        found.push_back(choice);
-    }
+    auto found = candidates(now, wanted, acceptance::full);
     // Agents are in the same order everywhere; equal costs must not be.
     auto const first = found.empty() ? 0 : random.number() % found.size();
     // clang's analysis can't compile `std::ranges::rotate` of this library.
@@ -162,6 +145,24 @@
     return found;
 }
 
+auto worker_directory::candidates(time_point now,
+                                  placement_request const& wanted,
+                                  acceptance least) const
+    -> std::vector<placement_choice>
+{
+    auto found = std::vector<placement_choice>{};
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (!takes(now, agent, worker, wanted) ||
+            worker.m_load.m_accepts < least)
+            continue;
+        auto choice = assess(worker, wanted);
+        choice.m_agent = agent;
+        found.push_back(choice);
+    }
+    return found;
+}
+
 auto worker_directory::draw(std::span<placement_choice const> from,
                             duration expected, double scale_part,
                             random_source& random) -> placement_choice
@@ -221,9 +222,7 @@
     choice.m_wait = wait_time(worker, wanted, room);
     if (choice.m_wait != duration{0})
         choice.m_room = 0;
-    choice.m_run = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(wanted.m_expected) *
-        factor);
+    choice.m_run = scaled(wanted.m_expected, factor);
     choice.m_turnover =
         choice.m_run /
         std::max(worker.m_news.m_worker.m_capacity.copies_of(step.m_needs),
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -125,6 +125,11 @@
     [[nodiscard]] static auto takes(time_point now, node_id agent,
                                     view const& worker,
                                     placement_request const& wanted) -> bool;
+    /// Workers for such a task whose agents accept at least so much.
+    [[nodiscard]] auto candidates(time_point now,
+                                  placement_request const& wanted,
+                                  acceptance least) const
+        -> std::vector<placement_choice>;
     /// Draws one of the choices by their room and cost.
     [[nodiscard]] static auto draw(std::span<placement_choice const> from,
                                    duration expected, double scale_part,
--- a/src/core/roles/entry.cpp
+++ b/src/core/roles/entry.cpp
@@ -128,10 +128,7 @@
     {
         out.emplace_back(
             reply{request.m_exchange, work.m_kind, *why, {}, span});
-        out.emplace_back(observe_metric{
-            "hickorylatch_refusals_total",
-            {{"verdict", std::string{to_string(why->m_run)}},
-             {"reason", std::string{to_string(why->m_reason)}}}});
+        out.emplace_back(count_refusal(*why));
         return;
     }
     auto const sequence = ++m_sequence;
@@ -382,10 +379,7 @@
                                      {"priority", priority_label(work)}},
                                     seconds});
     if (outcome.m_run != run_state::ran)
-        out.emplace_back(observe_metric{
-            "hickorylatch_refusals_total",
-            {{"verdict", std::string{to_string(outcome.m_run)}},
-             {"reason", std::string{to_string(outcome.m_reason)}}}});
+        out.emplace_back(count_refusal(outcome));
     out.emplace_back(reply{request.m_exchange, work.m_kind, std::move(outcome),
                            std::move(answers), work.m_trace});
     m_exchanges.erase(request.m_exchange);
--- a/src/experiment/run.cpp
+++ b/src/experiment/run.cpp
@@ -71,15 +71,10 @@
     }
 }
 
-auto seconds(duration time) -> double
-{
-    return static_cast<double>(time.count()) / 1e6;
-}
-
 auto slowdown(request const& of, duration network) -> double
 {
-    return seconds(of.m_answered - of.m_sent - network) /
-           seconds(of.m_run_time);
+    return core::to_seconds(of.m_answered - of.m_sent - network) /
+           core::to_seconds(of.m_run_time);
 }
 
 auto is_in_time(scenario const& setup, request const& of) -> bool
@@ -174,11 +169,11 @@
         if (of.m_priority == top)
             urgent.add(setup, of, best);
         auto& [actual, wanted] = responses[of.m_priority];
-        actual.push_back(seconds(of.m_answered - of.m_sent));
-        wanted.push_back(seconds(best.m_answered - best.m_sent));
+        actual.push_back(core::to_seconds(of.m_answered - of.m_sent));
+        wanted.push_back(core::to_seconds(best.m_answered - best.m_sent));
     }
     auto result = sample{};
-    auto const capacity = seconds(setup.m_length) *
+    auto const capacity = core::to_seconds(setup.m_length) *
                           static_cast<double>(setup.m_endpoints) *
                           static_cast<double>(setup.m_slots);
     result.m_values = {{"requests", count},
@@ -187,7 +182,7 @@
                        {"net_ratio", all.m_net / all.m_ideal},
                        {"gross_ratio", all.m_gross / all.m_ideal},
                        {"top_ratio", urgent.m_net / urgent.m_ideal},
-                       {"goodput", seconds(good) / capacity},
+                       {"goodput", core::to_seconds(good) / capacity},
                        {"refused", ends[request_end::refused] / count},
                        {"failed", ends[request_end::failed] / count},
                        {"late", (late + ends[request_end::open]) / count}};
