Bound the loads that an entry hears by its processor share

Ruled out: the policy itself.

An entry now asks its agents for an interval by which it hears at most 3,000 loads a second, fewer on a small machine.

--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -497,8 +497,12 @@
     /// Configuration that the entry serves by; 0 for none. An agent that holds
     /// a newer one sends it.
     configuration_version m_version = 0;
+    /// Least time between two loads of the agent to this entry, in
+    /// milliseconds. An entry with many agents can't take all of their news.
+    std::uint32_t m_load_interval_ms = 0;
 };
-BOOST_DESCRIBE_STRUCT(contact_confirmed, (), (m_sent_at, m_ends, m_version))
+BOOST_DESCRIBE_STRUCT(contact_confirmed, (),
+                      (m_sent_at, m_ends, m_version, m_load_interval_ms))
 
 struct run_order
 {
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -168,7 +168,14 @@
     contact.m_confirmed_at = now;
     out.emplace_back(
         send{from, contact_confirmed{load.m_sent_at, contact.m_ends,
-                                     m_configuration.m_version}});
+                                     m_configuration.m_version,
+                                     whole_ms(load_interval())}});
+}
+
+auto broker::load_interval() const -> duration
+{
+    return duration{std::chrono::seconds{m_workers.size()}} /
+           m_settings.m_loads_per_s;
 }
 
 auto broker::on(time_point now, node_id from, runs_ended const& news,
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -28,6 +28,9 @@
     double m_spread_factor = 1.0;
     /// Longest lease that a worker grants.
     duration m_lease = std::chrono::milliseconds{1000};
+    /// Loads of workers that this process has the processor time to hear, per
+    /// second.
+    std::uint32_t m_loads_per_s = 3'000;
 };
 
 /// Takes step jobs that need not survive this process, places their tasks on
@@ -111,6 +114,8 @@
         -> void;
 
     auto carry_out(placed_job& job, job_plan&& wanted, effects& out) -> void;
+    /// Least time between two loads of one agent.
+    [[nodiscard]] auto load_interval() const -> duration;
     auto send_order(placed_job& job, node_id agent, order_runs&& order,
                     effects& out) -> void;
     /// What decided whether a job is taken, and where its tasks go.
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -23,11 +23,9 @@
 constexpr auto start_lease = duration{std::chrono::milliseconds{350}};
 // A stop that gets no answer is repeated.
 constexpr auto stop_retry = duration{std::chrono::milliseconds{80}};
-// Loads that changed are sent at most this often, one message for several
-// changes.
-constexpr auto load_interval = duration{std::chrono::milliseconds{10}};
-// Loads that did not change renew the contact, three times within its timeout.
-constexpr auto idle_load_interval = duration{std::chrono::milliseconds{150}};
+// Loads are sent at most this often, to all entries that are due, so that waits
+// are forecast once for all of them.
+constexpr auto load_turn = duration{std::chrono::milliseconds{10}};
 // A run that takes this much longer than expected makes no progress. Declared
 // run times are commonly wrong by a factor of 1.5.
 constexpr auto hang_factor = 4.0;
@@ -60,6 +58,7 @@
     entry.m_is_connected = true;
     entry.m_is_announced = false;
     entry.m_told_version = 0;
+    entry.m_loads = {};
     // Numbers of orders count per link, and reservations end with it.
     entry.m_order = 0;
     m_queue.release(peer.m_node, std::nullopt);
@@ -114,7 +113,7 @@
         return;
     auto& entry = found->second;
     entry.m_order = order.m_order;
-    m_is_load_due = true;
+    m_is_load_changed = true;
     auto job = std::make_shared<ordered_job>();
     job->m_entry = from;
     job->m_id = order.m_job_id;
@@ -167,7 +166,7 @@
     if (found == m_contacts.end() || wanted.m_count == 0)
         return;
     found->second.m_order = wanted.m_order;
-    m_is_load_due = true;
+    m_is_load_changed = true;
     auto job = std::make_shared<ordered_job>();
     job->m_entry = from;
     job->m_rank = wanted.m_rank;
@@ -209,7 +208,7 @@
         if (found != m_live.end())
             order_stop(now, *found, out);
     }
-    m_is_load_due = true;
+    m_is_load_changed = true;
 }
 
 auto executor::on(time_point now, node_id from, contact_confirmed const& news,
@@ -221,6 +220,8 @@
     auto& entry = found->second;
     entry.m_until = std::max(entry.m_until, news.m_sent_at + contact_timeout);
     entry.m_is_expired = entry.m_until <= now;
+    entry.m_loads.set_interval(
+        std::chrono::milliseconds{news.m_load_interval_ms});
     auto const version = m_configuration.m_configuration.m_version;
     if (news.m_version < version && entry.m_told_version < version)
     {
@@ -335,7 +336,7 @@
         refuse(now, m_queue.all().begin()->second, reason::no_capacity, out);
         m_queue.erase(m_queue.all().begin());
     }
-    m_is_load_due = true;
+    m_is_load_changed = true;
 }
 
 auto executor::answered(time_point now, run_start_answered const& answer,
@@ -348,7 +349,7 @@
         found->second.m_state != run_state::starting)
         return;
     auto& run = found->second;
-    m_is_load_due = true;
+    m_is_load_changed = true;
     switch (answer.m_answer)
     {
     case worker_answer::accepted:
@@ -421,7 +422,7 @@
             return;
         if (!was_reachable)
         {
-            m_is_load_due = true;
+            m_is_load_changed = true;
             out.emplace_back(log_line{log_level::info,
                                       "worker_regained",
                                       {{"worker", m_worker->m_name}}});
@@ -453,7 +454,7 @@
     }
     if (!was_reachable || m_polls.is_reachable())
         return;
-    m_is_load_due = true;
+    m_is_load_changed = true;
     out.emplace_back(
         log_line{log_level::warning,
                  "worker_unreachable",
@@ -501,7 +502,8 @@
         else if (has_started && run.m_confirmed_at <= sent_at && !is_listed)
             finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
     }
-    m_is_load_due = m_is_load_due || !m_is_surveyed || !m_strays.empty();
+    m_is_load_changed =
+        m_is_load_changed || !m_is_surveyed || !m_strays.empty();
     m_is_surveyed = true;
     stop_strays(now, std::move(strays), out);
 }
@@ -583,7 +585,7 @@
     auto const number = m_offers.add(now, entry, run.m_needs, count);
     out.emplace_back(send{entry, offer_room{number, run.m_ref.m_job,
                                             run.m_ref.m_task.m_step, count}});
-    m_is_load_due = true;
+    m_is_load_changed = true;
     return m_queue.offered(reserved, count);
 }
 
@@ -601,7 +603,7 @@
         live_key{next.m_job->m_id, next.m_ref.m_task}, std::move(run));
     m_health.bound();
     order_start(now, *started.first, out);
-    m_is_load_due = true;
+    m_is_load_changed = true;
 }
 
 auto executor::order_start(time_point now, live_runs::value_type& started,
@@ -648,7 +650,7 @@
     auto const run = std::move(ended->second);
     auto const [job, task] = ended->first;
     m_live.erase(ended);
-    m_is_load_due = true;
+    m_is_load_changed = true;
     learn(now, run, outcome);
     log_end(now, job, run, outcome, why, out);
     auto const contact = m_contacts.find(run.m_job->m_entry);
@@ -839,7 +841,7 @@
         if (is_late)
         {
             refuse(now, waiting, reason::deadline, out);
-            m_is_load_due = true;
+            m_is_load_changed = true;
         }
         run = is_late ? m_queue.erase(run) : std::next(run);
     }
@@ -913,24 +915,31 @@
         out.emplace_back(send{to, ends});
     out.emplace_back(send{to, std::move(news)});
     entry.m_is_announced = true;
-    m_is_load_due = true;
+    entry.m_loads.changed();
 }
 
 auto executor::send_load(time_point now, effects& out) -> void
 {
-    auto const interval = m_is_load_due ? load_interval : idle_load_interval;
-    if (!m_worker || now < m_load_sent_at + interval)
+    if (!m_worker)
         return;
-    auto news = load(now);
-    for (auto const& [node, entry] : m_contacts)
+    if (std::exchange(m_is_load_changed, false))
+        for (auto& [node, entry] : m_contacts)
+            entry.m_loads.changed();
+    if (now < m_load_sent_at + load_turn)
+        return;
+    auto news = std::optional<worker_load>{};
+    for (auto& [node, entry] : m_contacts)
     {
-        if (!entry.m_is_connected || !entry.m_is_announced)
+        if (!entry.m_is_connected || !entry.m_is_announced ||
+            now < entry.m_loads.due_at())
             continue;
-        news.m_order = entry.m_order;
-        out.emplace_back(send{node, news});
+        if (!news)
+            news = load(now);
+        news->m_order = entry.m_order;
+        out.emplace_back(send{node, *news});
+        entry.m_loads.sent(now);
+        m_load_sent_at = now;
     }
-    m_is_load_due = false;
-    m_load_sent_at = now;
 }
 
 auto executor::load(time_point now) const -> worker_load
@@ -1003,7 +1012,7 @@
 auto executor::stop(time_point now, effects& out) -> void
 {
     m_is_stopping = true;
-    m_is_load_due = true;
+    m_is_load_changed = true;
     while (m_queue.size() != 0)
     {
         refuse(now, m_queue.all().begin()->second, reason::draining, out);
@@ -1023,16 +1032,10 @@
     auto first = never;
     if (m_worker)
         first = std::min(first, m_polls.next_deadline());
-    auto const has_contacts =
-        std::ranges::any_of(m_contacts,
-                            [](auto const& each)
-                            {
-                                return each.second.m_is_connected;
-                            });
-    if (m_worker && has_contacts)
-        first = std::min(first,
-                         m_load_sent_at + (m_is_load_due ? load_interval
-                                                         : idle_load_interval));
+    for (auto const& [node, entry] : m_contacts)
+        if (m_worker && entry.m_is_connected && entry.m_is_announced)
+            first = std::min(first, std::max(entry.m_loads.due_at(),
+                                             m_load_sent_at + load_turn));
     if (!m_polls.is_reachable() && !m_live.empty())
         first = std::min(first, m_clock.certainly_reached(m_lease_until_ms));
     for (auto const& [key, run] : m_live)
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/agent_health.hpp"
 #include "core/model/effect.hpp"
 #include "core/placement/link_targets.hpp"
+#include "core/placement/load_pace.hpp"
 #include "core/placement/room_offers.hpp"
 #include "core/placement/run_queue.hpp"
 #include "core/placement/worker_clock.hpp"
@@ -110,6 +111,7 @@
         /// Configuration that was sent on this link.
         configuration_version m_told_version = 0;
         std::uint64_t m_order = 0;
+        load_pace m_loads;
         /// Runs of this entry may go on until then.
         time_point m_until{0};
         /// That time has passed, and its runs were told to stop.
@@ -225,7 +227,9 @@
     /// Longest lease of any order, by the worker's clock.
     std::int64_t m_lease_until_ms = 0;
 
-    bool m_is_load_due = true;
+    /// The load has changed since entries were told it.
+    bool m_is_load_changed = true;
+    /// Last time that the load was sent to some entry.
     time_point m_load_sent_at{0};
     bool m_is_stopping = false;
 };
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -29,6 +29,13 @@
 constexpr auto segment_bytes = std::uint32_t{1} << 20U;
 constexpr auto snapshot_interval_bytes = std::uint32_t{4} << 20U;
 
+// A load costs about 20 microseconds, so that a third of the processor is spent
+// on loads. Fewer than 500 a second are too old to place work by at 60 workers;
+// more than 3,000 make placement no better there.
+constexpr auto loads_per_core = 16'000.0;
+constexpr auto fewest_loads = std::uint32_t{500};
+constexpr auto most_loads = std::uint32_t{3'000};
+
 auto fail(std::string text) -> boost::leaf::error_id
 {
     return boost::leaf::new_error(settings_error{std::move(text)});
@@ -102,8 +109,11 @@
         out.m_spread_factor = read_number(bounds, "spreadFactor", 1.0);
         out.m_tolerated_losses = static_cast<std::uint32_t>(
             read_number(read_table(file, "faultTolerance"), "machines", 1));
-        out.m_memory_mb = static_cast<std::uint32_t>(
-            read_number(read_table(file, "limits"), "memoryMb", 0));
+        auto const limits = read_table(file, "limits");
+        out.m_memory_mb =
+            static_cast<std::uint32_t>(read_number(limits, "memoryMb", 0));
+        out.m_processor_share = read_number(limits, "cpuShare", 1.0) *
+                                read_number(limits, "cores", 1.0);
         if (out.m_name.empty() || out.m_ip.empty())
             return fail("nodeName and ip are required");
         return out;
@@ -139,6 +149,9 @@
         broker.m_operators_address = join(host.m_ip, entry_metrics_port);
         broker.m_spread_factor = host.m_spread_factor;
         broker.m_lease_ms = host.m_lease_ms;
+        broker.m_loads_per_s = std::clamp(
+            static_cast<std::uint32_t>(host.m_processor_share * loads_per_core),
+            fewest_loads, most_loads);
         out.m_broker = std::move(broker);
         return out;
     }
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -52,6 +52,9 @@
     /// How much longer a task runs away from its data ("spreadFactor").
     double m_spread_factor = 1.0;
     std::uint32_t m_memory_mb = 0;
+    /// Processor time per time ("cpuShare" of a core that is "cores" times as
+    /// fast as a common one).
+    double m_processor_share = 1.0;
 
     auto operator==(host_settings const&) const -> bool = default;
 };
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -247,9 +247,10 @@
     if (auto const& wanted = m_settings.m_broker)
     {
         m_node.m_address = wanted->m_listen_address;
-        m_node.m_broker.emplace(core::broker_settings{
-            seeds, wanted->m_spread_factor,
-            std::chrono::milliseconds{wanted->m_lease_ms}});
+        m_node.m_broker.emplace(
+            core::broker_settings{seeds, wanted->m_spread_factor,
+                                  std::chrono::milliseconds{wanted->m_lease_ms},
+                                  wanted->m_loads_per_s});
     }
     if (auto const& wanted = m_settings.m_executor)
         m_node.m_executor.emplace(core::executor_settings{
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -94,6 +94,8 @@
     double m_spread_factor = 1.0;
     /// Longest lease that a worker grants, in milliseconds.
     std::uint32_t m_lease_ms = 1'000;
+    /// Loads of workers that the processor has time for, per second.
+    std::uint32_t m_loads_per_s = 3'000;
 };
 
 /// The executor role: runs of step jobs at one worker. Set by adapters only.
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -595,6 +595,7 @@
 auto placement_world::deliver(core::node_id from, core::node_id to,
                               core::message message) -> void
 {
+    ++m_sent[std::string{core::message_name(message)}];
     auto const is_from_entry = from < to;
     auto const key = is_from_entry ? link_key{from, to} : link_key{to, from};
     auto const& link = m_links[key];
@@ -672,4 +673,10 @@
     return found == m_logged.end() ? 0 : found->second;
 }
 
+auto placement_world::sent(std::string const& type) const -> unsigned
+{
+    auto const found = m_sent.find(type);
+    return found == m_sent.end() ? 0 : found->second;
+}
+
 } // namespace hickorylatch::test
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -95,6 +95,8 @@
     [[nodiscard]] auto starts() const -> unsigned;
     /// Lines logged under a name.
     [[nodiscard]] auto logged(std::string const& event) const -> unsigned;
+    /// Messages of a type that were sent on all links.
+    [[nodiscard]] auto sent(std::string const& type) const -> unsigned;
 
 private:
     struct entry_state
@@ -167,6 +169,7 @@
         m_submitted;
     std::map<core::exchange_id, job_outcome> m_answers;
     std::map<std::string, unsigned> m_logged;
+    std::map<std::string, unsigned, std::less<>> m_sent;
     unsigned m_double_runs = 0;
 };
 
--- a/tests/core/placement/test_overload.cpp
+++ b/tests/core/placement/test_overload.cpp
@@ -27,6 +27,8 @@
     core::duration m_slowest_refusal{0};
     /// Answered jobs that took more than half as long again as their run.
     unsigned m_delayed = 0;
+    /// Loads that each entry heard, per second.
+    double m_loads_per_s = 0.0;
 };
 
 struct installation
@@ -53,6 +55,7 @@
     auto pause = std::exponential_distribution<double>{capacity_per_s * load};
     auto error = std::normal_distribution<double>{0.0, 0.4};
     auto jobs = std::vector<core::exchange_id>{};
+    auto const loads_before = world.sent("worker_load");
     auto const until = world.now() + span;
     while (world.now() < until)
     {
@@ -65,8 +68,11 @@
             make_job("j" + number, 2, declared, milliseconds{100}),
             seconds{3}));
     }
-    world.run_for(seconds{5});
     auto got = served{};
+    got.m_loads_per_s = (world.sent("worker_load") - loads_before) /
+                        std::chrono::duration<double>{span}.count() /
+                        size.m_entries;
+    world.run_for(seconds{5});
     for (auto const job : jobs)
     {
         ++got.m_offered;
@@ -128,4 +134,7 @@
     BOOST_TEST(got.m_refused <= got.m_offered / 100);
     BOOST_TEST(got.m_in_time >= got.m_offered * 98 / 100);
     BOOST_TEST(got.m_delayed <= got.m_offered * 2 / 100);
+    // Guards against entries that have no processor time left for their jobs
+    // because each worker tells them of every start and end.
+    BOOST_TEST(got.m_loads_per_s <= core::broker_settings{}.m_loads_per_s);
 }
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -31,6 +31,9 @@
 frontend = "10.1.0.13:8161"
 readiness = "10.1.0.13:8167"
 controlPlane = "10.1.0.13:8166"
+[limits]
+cpuShare = 0.5
+cores = 1
 [faultTolerance]
 machines = 2
 [bounds]
@@ -59,6 +62,18 @@
 
 } // namespace
 
+// Guards against small entries that hear as much of the workers as large ones,
+// and then have no processor time for their jobs.
+BOOST_AUTO_TEST_CASE(a_small_entry_hears_fewer_loads)
+{
+    auto host = read(example);
+    BOOST_REQUIRE_MESSAGE(host.m_value, host.m_error);
+    host.m_value->m_processor_share = 0.12;
+    auto const entry = convert(*host.m_value, platform::duty::entry);
+    BOOST_REQUIRE_MESSAGE(entry.m_value, entry.m_error);
+    BOOST_TEST(entry.m_value->m_broker->m_loads_per_s == 1'920U);
+}
+
 BOOST_AUTO_TEST_CASE(platform_settings_are_translated)
 {
     auto const host = read(example);
@@ -69,6 +84,8 @@
     BOOST_REQUIRE_MESSAGE(entry.m_value, entry.m_error);
     BOOST_TEST(entry.m_value->m_broker->m_listen_address == "10.1.0.13:7721");
     BOOST_TEST(entry.m_value->m_control_addresses.back() == "10.2.0.30:7720");
+    // Half a core has time for more loads than make placement better.
+    BOOST_TEST(entry.m_value->m_broker->m_loads_per_s == 3'000U);
     auto const control = convert(*host.m_value, platform::duty::control);
     BOOST_REQUIRE_MESSAGE(control.m_value, control.m_error);
     BOOST_TEST(control.m_value->m_control->m_listen_address ==
