Write to links once a turn and read with one system call

A bufferevent takes two epoll_ctl, a wait and a write for each small message, and an ioctl beside each read.

Plain links are now a plain_stream: writes of one turn of the loop leave in one call at its end, reads take one call. TLS links keep their bufferevent. Ruled out: epoll's changelist flag, because the write event is waited for in between.

--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -4,7 +4,6 @@
 #include "net/tls_context.hpp"
 #include "wire/codec.hpp"
 
-#include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -12,7 +11,6 @@
 #include <openssl/crypto.h>
 
 #include <algorithm>
-#include <new>
 #include <utility>
 
 namespace hickorylatch::net
@@ -229,9 +227,7 @@
 
 auto peer_links::accept(int socket, socket_address const& remote) -> void
 {
-    auto& link = add_link(socket, remote.text(), false);
-    if (!m_settings.m_tls)
-        link.m_link->start();
+    add_link(socket, remote.text(), false).m_link->start();
 }
 
 auto peer_links::dial(std::string const& address) -> void
@@ -267,13 +263,6 @@
 auto peer_links::add_link(int socket, std::string remote, bool is_outgoing)
     -> link_state&
 {
-    constexpr auto options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
-    auto connection = m_settings.m_tls
-                          ? m_settings.m_tls->open(m_loop, socket)
-                          : bufferevent_handle{bufferevent_socket_new(
-                                m_loop.base(), socket, options)};
-    if (!connection)
-        throw std::bad_alloc{};
     auto const id = ++m_last_id;
     auto handlers = peer_link_handlers{.m_opened =
                                            [this, id]
@@ -294,8 +283,9 @@
         .m_id = id,
         .m_remote = std::move(remote),
         .m_is_outgoing = is_outgoing,
-        .m_link = std::make_unique<peer_link>(
-            std::move(connection), hello_frame_limit, std::move(handlers)),
+        .m_link =
+            std::make_unique<peer_link>(m_loop, socket, m_settings.m_tls.get(),
+                                        hello_frame_limit, std::move(handlers)),
         .m_hello_timer{m_loop, [this, id]
                        {
                            fail(id, "no hello in time");
--- a/src/net/tls_context.cpp
+++ b/src/net/tls_context.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+auto bufferevent_deleter::operator()(bufferevent* handle) const noexcept -> void
+{
+    bufferevent_free(handle);
+}
+
 auto tls_context::context_deleter::operator()(SSL_CTX* handle) const noexcept
     -> void
 {
--- a/src/net/tls_context.hpp
+++ b/src/net/tls_context.hpp
@@ -2,7 +2,6 @@
 #define HICKORYLATCH_NET_TLS_CONTEXT_HPP
 
 #include "net/event_loop.hpp"
-#include "net/peer_link.hpp"
 
 #include <boost/leaf/result.hpp>
 
@@ -11,9 +10,17 @@
 #include <memory>
 #include <string>
 
+struct bufferevent;
+
 namespace hickorylatch::net
 {
 
+struct bufferevent_deleter
+{
+    auto operator()(bufferevent* handle) const noexcept -> void;
+};
+using bufferevent_handle = std::unique_ptr<bufferevent, bufferevent_deleter>;
+
 /// PEM files for links between processes.
 struct tls_files
 {
