Give a lapsed start up only after a list that was asked for later

Cause: a start without an answer counted as never carried out once its own lease had certainly run out. But a worker may carry it out just before that, and the polls of the agent then extend the lease of everything that runs there. The task was ordered elsewhere while it ran.

Now the agent asks for a list when the lease is over, and gives the start up only if a list that was asked for after that does not show it. Ruled out: a longer lease of the start, which only makes the case rarer.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -760,11 +760,13 @@
     {
         auto const current = each++;
         auto& run = current->second;
-        if (run.m_state == run_state::unsure &&
+        // It may have started before its lease ran out and run on under that
+        // of a poll, so only a list that is asked for now tells.
+        if (run.m_state == run_state::unsure && run.m_revoked_at == never &&
             now >= m_clock.certainly_reached(run.m_lease_until_ms))
         {
-            finish(now, current, run_outcome::refused, reason::agent_lost, out);
-            continue;
+            run.m_revoked_at = now;
+            m_polls.want_list();
         }
         if (run.m_state == run_state::running && !run.m_is_hung &&
             run.m_expected > duration{0} &&
@@ -1042,7 +1044,7 @@
     {
         if (run.m_state == run_state::stopping)
             first = std::min(first, run.m_stop_again_at);
-        if (run.m_state == run_state::unsure)
+        if (run.m_state == run_state::unsure && run.m_revoked_at == never)
             first = std::min(first,
                              m_clock.certainly_reached(run.m_lease_until_ms));
         if (run.m_state == run_state::running && !run.m_is_hung &&
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -98,7 +98,8 @@
         bool m_is_unwanted = false;
         /// Since when it is unsure whether it has started.
         time_point m_unsure_at = never;
-        /// The worker confirmed then that it will not start any more.
+        /// It will not start any more after that: the worker confirmed so, or
+        /// the lease of its start had run out. It may have started before.
         time_point m_revoked_at = never;
         time_point m_stop_again_at = never;
     };
--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -112,6 +112,41 @@
     BOOST_TEST(ends(out) == 1);
 }
 
+// Guards against two runs of a task: a start without an answer was carried out
+// just before its lease ran out, and polls extended the lease of everything
+// that runs before a list showed the run.
+BOOST_AUTO_TEST_CASE(a_lapsed_start_is_given_up_by_a_later_list_only)
+{
+    auto out = core::effects{};
+    auto agent = make_agent(out);
+    agent.receive(milliseconds{1'010}, entry, make_order(), out);
+    auto const started = *last<core::start_run>(out);
+    agent.answered(milliseconds{1'070},
+                   core::run_start_answered{started.m_run,
+                                            core::worker_answer::unknown, 0},
+                   out);
+    // The stop that revokes the start gets no answer either.
+    agent.answered(milliseconds{1'071},
+                   poll_answer(last<core::poll_runs>(out)->m_poll), out);
+    auto const early = last<core::poll_runs>(out)->m_poll;
+    out.clear();
+    auto const lapsed = milliseconds{1'600};
+    agent.tick(lapsed, out);
+    BOOST_TEST(agent.running() == 1U);
+    BOOST_TEST(ends(out) == 0);
+    auto const* asked = last<core::poll_runs>(out);
+    BOOST_REQUIRE(asked != nullptr);
+    // Made before the lease was over.
+    agent.answered(milliseconds{1'601}, poll_answer(early), out);
+    BOOST_TEST(agent.running() == 1U);
+    auto list = poll_answer(asked->m_poll);
+    list.m_clock_ms = 1'601;
+    list.m_running = {started.m_run};
+    agent.answered(milliseconds{1'602}, list, out);
+    BOOST_TEST(agent.running() == 1U);
+    BOOST_TEST(ends(out) == 0);
+}
+
 // Guards against an entry that never hears of an end because it takes it for
 // one that it had: it was frozen, and the agent has forgotten it meanwhile.
 BOOST_AUTO_TEST_CASE(ends_are_counted_on_after_an_entry_was_forgotten)
