Found a group under one identity

Cause: until its disk held the founding, the founder founded again with each event, under a new random identity each time. Its own replica kept the first one. A member whose link was replaced at that moment, as both sides open one at the start, missed the first message and took a later identity. The group worked on until links were opened again; then all replicas refused each other with "wrong cluster", and no leader was ever elected again.

A member that misses the founding gets it again from a candidate, under the same identity.

--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -344,6 +344,10 @@
         return;
     if (m_replica.cluster() == 0)
     {
+        // The replica has an identity only once its disk holds it. Members that
+        // miss this founding get it again from the replica.
+        if (m_is_founding)
+            return;
         auto self = hello{};
         self.m_node = m_replica.identity();
         self.m_address = m_address;
@@ -351,6 +355,7 @@
         auto const founders = m_keeper.founders(self);
         if (!founders)
             return;
+        m_is_founding = true;
         auto const cluster = with.m_random.number() | 1U;
         m_replica.found(cluster, *founders, with.m_out);
         for (auto const& each : *founders)
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -120,6 +120,8 @@
     membership_keeper m_keeper;
     bool m_has_group_settings = false;
     bool m_is_volatile = false;
+    /// This process has founded the group.
+    bool m_is_founding = false;
     std::uint64_t m_membership_changes = 0;
     /// Where entries accept links, and when each was last connected; `never`
     /// while it is.
