Add a fault soak of the programs on the users' platform

Why: the path on the users' platform was tested by its reducers in virtual time and by the users' bench only. The soak runs entries, control replicas and agents as processes on loopback, with stand-ins for workers, clients, a balancer and an operator. It injects faults from outside: signals (planned stops, kills, pauses, reloads), a proxy on every machine's links (delays, resets, silence, cuts one way), lost disks, workers that crash, hang, fail, slow down, drain or carry out orders late. It checks the promises while it runs, from what callers and workers see. Clocks can't be changed without help of the system, and are left out.

--- a/src/net/byte_stream.hpp
+++ b/src/net/byte_stream.hpp
@@ -27,10 +27,12 @@
 template <typename T>
 concept byte_stream = requires(T stream, T const& view,
                                socket_address const& address,
+                               socket_address const* source,
                                std::string_view bytes)
 {
-    /// Opens a connection; `m_opened` or `m_failed` follows.
-    stream.connect(address);
+    /// Opens a connection, from `source` if it is not null; `m_opened` or
+    /// `m_failed` follows.
+    stream.connect(address, source);
     /// Reports an accepted connection as open.
     stream.start();
     stream.write(bytes);
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -52,12 +52,13 @@
                                         std::move(handlers));
 }
 
-auto peer_link::connect(socket_address const& address) -> void
+auto peer_link::connect(socket_address const& address,
+                        socket_address const* source) -> void
 {
     std::visit(
         [&](auto& each)
         {
-            each->connect(address);
+            each->connect(address, source);
         },
         m_stream);
 }
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -39,8 +39,10 @@
     auto operator=(peer_link const&) -> peer_link& = delete;
     ~peer_link() = default;
 
-    /// Opens the connection; `m_opened` or `m_failed` follows.
-    auto connect(socket_address const& address) -> void;
+    /// Opens the connection, from a local address if one is given; `m_opened`
+    /// or `m_failed` follows.
+    auto connect(socket_address const& address, socket_address const* source)
+        -> void;
     /// Begins with an accepted connection; `m_opened` or `m_failed` follows.
     auto start() -> void;
     auto set_frame_limit(std::size_t limit) -> void;
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -40,6 +40,20 @@
 constexpr auto accept_retry_interval =
     core::duration{std::chrono::milliseconds{100}};
 
+auto parse_address(std::string const& text) -> std::optional<socket_address>
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<socket_address>>
+        {
+            BOOST_LEAF_AUTO(parsed, socket_address::parse(text));
+            return std::optional{parsed};
+        },
+        []
+        {
+            return std::optional<socket_address>{};
+        });
+}
+
 /// Why a hello is refused; empty if it is not.
 auto hello_fault(core::hello const& own, core::hello const& peer)
     -> std::string_view
@@ -239,17 +253,7 @@
     if (target.m_link != 0 || target.m_is_self ||
         m_by_node.contains(target.m_node))
         return;
-    auto const parse = [&]() -> leaf::result<std::optional<socket_address>>
-    {
-        BOOST_LEAF_AUTO(parsed, socket_address::parse(address));
-        return std::optional{parsed};
-    };
-    auto const parsed =
-        leaf::try_handle_all(parse,
-                             []
-                             {
-                                 return std::optional<socket_address>{};
-                             });
+    auto const parsed = parse_address(address);
     if (!parsed)
     {
         return log(core::log_level::error, "link_failed", address,
@@ -257,7 +261,10 @@
     }
     auto& link = add_link(-1, address, true);
     target.m_link = link.m_id;
-    link.m_link->connect(*parsed);
+    auto const source = m_settings.m_source_ip.empty()
+                            ? std::nullopt
+                            : parse_address(m_settings.m_source_ip + ":0");
+    link.m_link->connect(*parsed, source ? &*source : nullptr);
 }
 
 auto peer_links::add_link(int socket, std::string remote, bool is_outgoing)
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -53,6 +53,9 @@
     link_liveness m_control_liveness;
     /// For the other links, which carry work.
     link_liveness m_work_liveness;
+    /// IP that outgoing links without encryption leave from; empty for the
+    /// kernel's choice.
+    std::string m_source_ip;
     /// Encrypts and authenticates all links if set.
     std::shared_ptr<tls_context const> m_tls;
 };
--- a/src/net/plain_stream.cpp
+++ b/src/net/plain_stream.cpp
@@ -65,13 +65,17 @@
     close();
 }
 
-auto plain_stream::connect(socket_address const& address) -> void
+auto plain_stream::connect(socket_address const& address,
+                           socket_address const* source) -> void
 {
     m_socket = ::socket(address.data()->sa_family,
                         SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_socket < 0)
         return fail(errno);
     watch();
+    if (source != nullptr &&
+        ::bind(m_socket, source->data(), source->size()) != 0)
+        return fail(errno);
     if (::connect(m_socket, address.data(), address.size()) != 0 &&
         errno != EINPROGRESS)
         return fail(errno);
--- a/src/net/plain_stream.hpp
+++ b/src/net/plain_stream.hpp
@@ -32,7 +32,8 @@
     auto operator=(plain_stream const&) -> plain_stream& = delete;
     ~plain_stream();
 
-    auto connect(socket_address const& address) -> void;
+    auto connect(socket_address const& address, socket_address const* source)
+        -> void;
     auto start() -> void;
     auto write(std::string_view bytes) -> void;
     auto close() -> void;
--- a/src/net/tls_stream.cpp
+++ b/src/net/tls_stream.cpp
@@ -46,7 +46,8 @@
     bufferevent_enable(m_connection.get(), EV_READ | EV_WRITE);
 }
 
-auto tls_stream::connect(socket_address const& address) -> void
+auto tls_stream::connect(socket_address const& address,
+                         socket_address const* /*source*/) -> void
 {
     auto const failed = bufferevent_socket_connect(
         m_connection.get(), address.data(), static_cast<int>(address.size()));
--- a/src/net/tls_stream.hpp
+++ b/src/net/tls_stream.hpp
@@ -20,7 +20,8 @@
     auto operator=(tls_stream const&) -> tls_stream& = delete;
     ~tls_stream() = default;
 
-    auto connect(socket_address const& address) -> void;
+    auto connect(socket_address const& address, socket_address const* source)
+        -> void;
     /// The handshake reports an accepted connection as open.
     auto start() -> void;
     auto write(std::string_view bytes) -> void;
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -36,10 +36,10 @@
     return std::string{name};
 }
 
-auto run(duty wanted) -> leaf::result<int>
+auto run(duty wanted, std::string const& listen_ip) -> leaf::result<int>
 {
     BOOST_LEAF_AUTO(file, find_settings_file());
-    auto source = settings_source{std::move(file)};
+    auto source = settings_source{std::move(file), listen_ip};
     BOOST_LEAF_AUTO(host, source.read());
     BOOST_LEAF_AUTO(settings, to_process_settings(host, wanted));
     BOOST_LEAF_AUTO(opened, process::process::open(std::move(settings)));
@@ -75,12 +75,12 @@
 
 } // namespace
 
-auto run_host(duty wanted) -> int
+auto run_host(duty wanted, std::string const& listen_ip) -> int
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<int>
         {
-            return run(wanted);
+            return run(wanted, listen_ip);
         },
         [](settings_error const& error)
         {
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -90,6 +90,7 @@
         auto out = host_settings{};
         out.m_name = read(file, "nodeName", std::string{});
         out.m_ip = read(file, "ip", std::string{});
+        out.m_own_ip = out.m_ip;
         out.m_failure_domain = read(file, "zone", std::string{});
         out.m_worker_address = read(file, "app", std::string{});
         out.m_seeds = read(file, "seeds", std::vector<std::string>{});
@@ -139,14 +140,18 @@
     out.m_name = host.m_name;
     out.m_failure_domain = host.m_failure_domain;
     out.m_control_addresses = seed_links(host);
+    if (host.m_own_ip != host.m_ip)
+        out.m_source_ip = host.m_own_ip;
     if (wanted == duty::entry)
     {
         if (host.m_clients_address.empty() || host.m_readiness_address.empty())
             return fail("an entry needs the addresses frontend and readiness");
         auto broker = settings::broker_settings{};
         broker.m_listen_address =
+            join(host.m_own_ip, host.m_first_port + entry_link_port_offset);
+        broker.m_advertised_address =
             join(host.m_ip, host.m_first_port + entry_link_port_offset);
-        broker.m_operators_address = join(host.m_ip, entry_metrics_port);
+        broker.m_operators_address = join(host.m_own_ip, entry_metrics_port);
         broker.m_spread_factor = host.m_spread_factor;
         broker.m_lease_ms = host.m_lease_ms;
         broker.m_loads_per_s = std::clamp(
@@ -162,15 +167,17 @@
         if (host.m_worker_address.empty())
             return fail("an agent needs the worker's address, app");
         auto executor = settings::executor_settings{};
-        executor.m_operators_address = join(host.m_ip, agent_metrics_port);
+        executor.m_operators_address = join(host.m_own_ip, agent_metrics_port);
         executor.m_lease_ms = host.m_lease_ms;
         out.m_executor = std::move(executor);
         return out;
     }
     auto control = settings::control_settings{};
     control.m_listen_address =
+        join(host.m_own_ip, host.m_first_port + control_link_port_offset);
+    control.m_advertised_address =
         join(host.m_ip, host.m_first_port + control_link_port_offset);
-    control.m_operators_address = join(host.m_ip, control_metrics_port);
+    control.m_operators_address = join(host.m_own_ip, control_metrics_port);
     control.m_group.m_is_volatile = host.m_data_folder.empty();
     control.m_data_folder = host.m_data_folder;
     control.m_segment_bytes = segment_bytes;
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -25,7 +25,11 @@
 struct host_settings
 {
     std::string m_name;
+    /// Where others reach this machine.
     std::string m_ip;
+    /// Where its processes listen and what their links leave from; that of
+    /// others unless the command line says otherwise.
+    std::string m_own_ip;
     /// The platform's "zone".
     std::string m_failure_domain;
     /// "ip:port" where clients connect; empty unless this is an entry.
--- a/src/platform/settings_source.cpp
+++ b/src/platform/settings_source.cpp
@@ -23,14 +23,23 @@
 
 } // namespace
 
-settings_source::settings_source(std::string file) : m_file{std::move(file)}
+settings_source::settings_source(std::string file, std::string listen_ip)
+    : m_file{std::move(file)}, m_listen_ip{std::move(listen_ip)}
 {
 }
 
+auto settings_source::parse() const -> leaf::result<host_settings>
+{
+    BOOST_LEAF_AUTO(parsed, parse_host_settings(m_text));
+    if (!m_listen_ip.empty())
+        parsed.m_own_ip = m_listen_ip;
+    return parsed;
+}
+
 auto settings_source::read() -> leaf::result<host_settings>
 {
     BOOST_LEAF_ASSIGN(m_text, read_text(m_file));
-    return parse_host_settings(m_text);
+    return parse();
 }
 
 auto settings_source::read_change()
@@ -40,7 +49,7 @@
     if (text == m_text)
         return std::optional<host_settings>{};
     m_text = std::move(text);
-    BOOST_LEAF_AUTO(changed, parse_host_settings(m_text));
+    BOOST_LEAF_AUTO(changed, parse());
     return std::optional{std::move(changed)};
 }
 
--- a/src/platform/settings_source.hpp
+++ b/src/platform/settings_source.hpp
@@ -16,7 +16,8 @@
 class settings_source
 {
 public:
-    explicit settings_source(std::string file);
+    /// Processes listen on `listen_ip` unless it is empty.
+    settings_source(std::string file, std::string listen_ip);
 
     /// Reads the file. Errors: `settings_error`.
     [[nodiscard]] auto read() -> boost::leaf::result<host_settings>;
@@ -27,7 +28,11 @@
         -> boost::leaf::result<std::optional<host_settings>>;
 
 private:
+    /// The text that was read last.
+    [[nodiscard]] auto parse() const -> boost::leaf::result<host_settings>;
+
     std::string m_file;
+    std::string m_listen_ip;
     std::string m_text;
 };
 
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -94,6 +94,14 @@
     return image ? std::optional{std::move(*image)} : std::nullopt;
 }
 
+/// Where others reach a role that listens.
+template <typename Role>
+auto advertised(Role const& wanted) -> std::string const&
+{
+    return wanted.m_advertised_address.empty() ? wanted.m_listen_address
+                                               : wanted.m_advertised_address;
+}
+
 auto encode_image(core::control_image const& image) -> std::string
 {
     return wire::encode(image);
@@ -195,10 +203,10 @@
         replication.m_first_election_maximum = first_election_maximum;
     }
     m_node.m_id = recovered.m_identity;
-    m_node.m_address = wanted.m_listen_address;
+    m_node.m_address = advertised(wanted);
     m_node.m_control.emplace(limits, replication, std::move(recovered),
                              core::image_codec{encode_image, decode_image},
-                             wanted.m_listen_address, wanted.m_group);
+                             m_node.m_address, wanted.m_group);
     return {};
 }
 
@@ -246,7 +254,7 @@
     auto const& seeds = m_settings.m_control_addresses;
     if (auto const& wanted = m_settings.m_broker)
     {
-        m_node.m_address = wanted->m_listen_address;
+        m_node.m_address = advertised(*wanted);
         m_node.m_broker.emplace(
             core::broker_settings{seeds, wanted->m_spread_factor,
                                   std::chrono::milliseconds{wanted->m_lease_ms},
@@ -267,6 +275,7 @@
     wanted.m_backoff_max = longest_backoff;
     wanted.m_control_liveness = control_liveness;
     wanted.m_work_liveness = work_liveness;
+    wanted.m_source_ip = m_settings.m_source_ip;
     if (auto const& files = m_settings.m_tls)
     {
         BOOST_LEAF_ASSIGN(wanted.m_tls,
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -59,6 +59,8 @@
 {
     /// "ip:port" where other processes connect. Required.
     std::string m_listen_address;
+    /// The same as others reach it, if that differs. Set by adapters only.
+    std::string m_advertised_address = {};
     /// "ip:port" of metrics, health and the founding of the group. Required.
     std::string m_operators_address;
     /// Folder of log, snapshots and identity. Required.
@@ -88,6 +90,8 @@
 {
     /// "ip:port" where agents connect.
     std::string m_listen_address;
+    /// The same as agents reach it, if that differs.
+    std::string m_advertised_address;
     /// "ip:port" of metrics and health.
     std::string m_operators_address;
     /// How much longer a task runs away from the rack with its data.
@@ -157,6 +161,9 @@
     log_settings m_log;
     /// File that spans are appended to. Default: empty, no spans.
     std::string m_trace_file;
+    /// IP that links to others leave from. Set by adapters only; default:
+    /// empty, the kernel's choice.
+    std::string m_source_ip = {};
     /// TLS between processes. Default: none, plain TCP.
     std::optional<tls_settings> m_tls;
     /// Entry role. Default: none.
--- a/tests/net/test_plain_stream.cpp
+++ b/tests/net/test_plain_stream.cpp
@@ -147,7 +147,7 @@
         {
             // Nothing listens on the first port.
             BOOST_LEAF_AUTO(address, net::socket_address::parse("127.0.0.1:1"));
-            stream.connect(address);
+            stream.connect(address, nullptr);
             return {};
         },
         []
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -132,7 +132,7 @@
     {
         std::ofstream{file} << text;
     };
-    auto source = platform::settings_source{file.string()};
+    auto source = platform::settings_source{file.string(), {}};
     auto const change = [&]
     {
         return try_parse(
--- /dev/null
+++ b/tests/system/soak/wire.py
@@ -0,0 +1,102 @@
+"""Just enough HTTP/1.1 over asyncio for clients and stand-ins."""
+
+import asyncio
+import json
+
+HEADER_LIMIT = 64 * 1024
+
+
+async def read_head(reader):
+    """The first line's words and the headers; None at a clean end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise ConnectionError("cut within a head") from error
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, mark, value = line.partition(":")
+        if mark:
+            headers[name.strip().lower()] = value.strip()
+    return lines[0].split(" ", 2), headers
+
+
+async def read_body(reader, headers):
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def message(first_line, headers, body):
+    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items()),
+             f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+class Connection:
+    """A client's connection, kept open until it breaks."""
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = port
+        self.reader = self.writer = None
+
+    async def exchange(self, method, path, body=b"", headers=None):
+        """Status, headers and body of the answer. Raises OSError or
+        ConnectionError if there is none."""
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.host, self.port, limit=HEADER_LIMIT)
+        try:
+            self.writer.write(message(f"{method} {path} HTTP/1.1", {
+                "Host": "desk.example", "Content-Type": "application/json",
+                **(headers or {})}, body))
+            await self.writer.drain()
+            head = await read_head(self.reader)
+            if head is None:
+                raise ConnectionError("closed without an answer")
+            (_, status, *_), answer_headers = head
+            content = await read_body(self.reader, answer_headers)
+        except asyncio.IncompleteReadError as error:
+            self.close()
+            raise ConnectionError("cut within an answer") from error
+        except BaseException:
+            self.close()
+            raise
+        if answer_headers.get("connection", "").lower() == "close":
+            self.close()
+        return int(status), answer_headers, content
+
+    def is_open(self):
+        return self.writer is not None and not self.reader.at_eof()
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+async def serve(host, port, handle):
+    """Serves `handle(method, path, headers, body) -> (status, object)`. A
+    handler that returns None leaves the caller without an answer."""
+    async def talk(reader, writer):
+        try:
+            while (head := await read_head(reader)) is not None:
+                (method, path, *_), headers = head
+                body = await read_body(reader, headers)
+                answer = await handle(method, path, headers, body)
+                if answer is None:
+                    continue
+                status, content = answer
+                writer.write(message(
+                    f"HTTP/1.1 {status} x",
+                    {"Content-Type": "application/json"},
+                    json.dumps(content).encode()))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+    return await asyncio.start_server(talk, host, port, limit=HEADER_LIMIT,
+                                      backlog=512)
