Split the placing of runs out of the broker

Cause: broker.cpp had grown to 700 lines with two jobs: the exchange with clients (what to take, refuse and answer) and the placement of tasks (contacts with agents, reservations, lost runs, retries). Jobs that must survive need the second without the first.

run_placer now places the tasks of jobs and reports how each came to its end; the broker takes, refuses and answers.

--- /dev/null
+++ b/src/core/placement/run_placer.cpp
@@ -0,0 +1,445 @@
+#include "core/placement/run_placer.hpp"
+
+#include "core/placement/log_fields.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// After the agent has given this process up, its worker's lease runs out by a
+// slow clock; the rest is for the stops that the agent sends.
+constexpr auto stop_margin = duration{std::chrono::milliseconds{150}};
+constexpr auto slowest_clock_percent = 103;
+// A fifth of the agents' shortest timeout: one lost confirmation does no harm.
+constexpr auto confirm_interval = duration{std::chrono::milliseconds{100}};
+// Tasks without a worker, or that wait for offers of room, look again this
+// often. A worker without a reservation may have room by then.
+constexpr auto retry_interval = duration{std::chrono::milliseconds{40}};
+
+} // namespace
+
+run_placer::run_placer(run_placer_settings settings) : m_settings{settings}
+{
+    m_workers.set_spread_factor(m_settings.m_spread_factor);
+}
+
+auto run_placer::connected(node_id agent) -> void
+{
+    m_workers.connected(agent);
+    auto& contact = m_agents[agent];
+    contact.m_is_connected = true;
+    contact.m_is_confirmed = false;
+    contact.m_gone_at = never;
+}
+
+auto run_placer::disconnected(time_point now, node_id agent) -> void
+{
+    auto const found = m_agents.find(agent);
+    if (found == m_agents.end())
+        return;
+    m_workers.disconnected(agent);
+    forget_reservations(agent);
+    auto& contact = found->second;
+    contact.m_is_connected = false;
+    contact.m_gone_at =
+        std::max(now, contact.m_confirmed_at + m_settings.m_contact_timeout +
+                          m_settings.m_lease * slowest_clock_percent / 100 +
+                          stop_margin);
+}
+
+auto run_placer::receive(time_point now, node_id from, message const& incoming,
+                         configuration_version version, random_source& random,
+                         effects& out) -> bool
+{
+    if (auto const* load = std::get_if<worker_load>(&incoming))
+        on(now, from, *load, version, out);
+    else if (auto const* ends = std::get_if<runs_ended>(&incoming))
+    {
+        if (!is_unconfirmed(from, ends->m_number))
+            return true;
+        take_ends(now, from, ends->m_ends, random, out);
+        confirm(from, ends->m_number);
+    }
+    else if (auto const* news = std::get_if<worker_announcement>(&incoming))
+        on(now, from, *news, random, out);
+    else if (auto const* offered = std::get_if<offer_room>(&incoming))
+        on(now, from, *offered, out);
+    else if (auto const* dropped = std::get_if<reservation_dropped>(&incoming))
+    {
+        if (auto* const job = find(dropped->m_job))
+            job->forget_reservation(dropped->m_step, from);
+    }
+    else
+        return false;
+    return true;
+}
+
+auto run_placer::tick(time_point now, random_source& random, effects& out)
+    -> void
+{
+    auto gone = std::vector<node_id>{};
+    for (auto const& [agent, contact] : m_agents)
+        if (contact.m_gone_at <= now)
+            gone.push_back(agent);
+    for (auto const agent : gone)
+    {
+        lose_runs(now, agent, random, out);
+        m_agents.erase(agent);
+    }
+    if (now < m_retry_at)
+        return;
+    m_retry_at = never;
+    auto const unplaced = m_unplaced;
+    for (auto const number : unplaced)
+        carry_on(now, number, random, out);
+}
+
+auto run_placer::is_unconfirmed(node_id agent, std::uint64_t number) const
+    -> bool
+{
+    auto const found = m_agents.find(agent);
+    return found != m_agents.end() && number > found->second.m_ends;
+}
+
+auto run_placer::confirm(node_id agent, std::uint64_t number) -> void
+{
+    auto const found = m_agents.find(agent);
+    if (found != m_agents.end())
+        found->second.m_ends = std::max(found->second.m_ends, number);
+}
+
+auto run_placer::take_ends(time_point now, node_id agent,
+                           std::span<run_end const> ends, random_source& random,
+                           effects& out) -> void
+{
+    for (auto const& end : ends)
+        take_end(now, agent, end, random, out);
+}
+
+auto run_placer::add(placed_job job) -> void
+{
+    auto const number = job.number();
+    m_jobs.emplace(number, std::move(job));
+}
+
+auto run_placer::plan(time_point now, std::uint64_t job, random_source& random)
+    -> job_plan
+{
+    return m_planner.plan(now, m_jobs.at(job), random);
+}
+
+auto run_placer::drop(job_plan const& unwanted) -> void
+{
+    m_planner.drop(unwanted);
+}
+
+auto run_placer::carry_out(time_point now, std::uint64_t number,
+                           job_plan&& wanted, effects& out) -> void
+{
+    auto& job = m_jobs.at(number);
+    for (auto& [agent, order] : wanted.m_orders)
+        send_order(job, agent, std::move(order), out);
+    for (auto& [agent, reservation] : wanted.m_reservations)
+    {
+        job.reserved(reservation.m_step, agent, reservation.m_count);
+        out.emplace_back(send{agent, reservation});
+    }
+    if (job.has_ready_tasks())
+        retry_later(now, number);
+    else
+        m_unplaced.erase(number);
+}
+
+auto run_placer::carry_on(time_point now, std::uint64_t job,
+                          random_source& random, effects& out) -> void
+{
+    if (!m_ended.contains(job))
+        carry_out(now, job, plan(now, job, random), out);
+}
+
+auto run_placer::remove(std::uint64_t number, effects& out) -> void
+{
+    auto const found = m_jobs.find(number);
+    if (found == m_jobs.end())
+        return;
+    withdraw(found->second, out);
+    release(found->second, out);
+    m_unplaced.erase(number);
+    m_ended.erase(number);
+    for (auto& [agent, contact] : m_agents)
+        contact.m_jobs.erase(number);
+    m_jobs.erase(found);
+}
+
+auto run_placer::take_outcomes() -> std::vector<placed_outcome>
+{
+    return std::exchange(m_outcomes, {});
+}
+
+auto run_placer::find(std::uint64_t job) -> placed_job*
+{
+    auto const found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+auto run_placer::jobs() const -> live_jobs const&
+{
+    return m_jobs;
+}
+
+auto run_placer::workers() const -> worker_directory const&
+{
+    return m_workers;
+}
+
+auto run_placer::objective(placed_job const& job) const -> duration
+{
+    return m_planner.objective(job);
+}
+
+auto run_placer::next_deadline() const -> time_point
+{
+    auto first = m_retry_at;
+    for (auto const& [agent, contact] : m_agents)
+        first = std::min(first, contact.m_gone_at);
+    return first;
+}
+
+auto run_placer::conclude(placed_job const& job, bool is_complete) -> void
+{
+    m_ended.insert(job.number());
+    m_unplaced.erase(job.number());
+    m_outcomes.push_back({job.number(), is_complete});
+}
+
+auto run_placer::on(time_point now, node_id from,
+                    worker_announcement const& news, random_source& random,
+                    effects& out) -> void
+{
+    m_workers.announce(now, from, news);
+    forget_reservations(from);
+    auto const found = m_agents.find(from);
+    if (found == m_agents.end())
+        return;
+    found->second.m_worker = news.m_worker.m_name;
+    // Orders that were lost with an earlier link are not listed.
+    auto const jobs = found->second.m_jobs;
+    for (auto const number : jobs)
+    {
+        auto const job = m_jobs.find(number);
+        if (job == m_jobs.end())
+            continue;
+        auto is_changed = false;
+        for (auto& task : job->second.tasks())
+        {
+            auto const ref = job->second.ref(task);
+            auto const is_lost =
+                task.m_state == task_state::placed && task.m_agent == from &&
+                (task.m_order <= news.m_order ||
+                 task.m_order > m_workers.last_order(from)) &&
+                std::ranges::find(news.m_runs, ref) == news.m_runs.end();
+            if (!is_lost)
+                continue;
+            lose_run(job->second, task, "order lost with its link",
+                     now - found->second.m_confirmed_at, out);
+            is_changed = true;
+        }
+        if (is_changed)
+            carry_on(now, job->first, random, out);
+    }
+}
+
+auto run_placer::on(time_point now, node_id from, worker_load const& load,
+                    configuration_version version, effects& out) -> void
+{
+    m_workers.update(now, from, load);
+    auto const found = m_agents.find(from);
+    if (found == m_agents.end())
+        return;
+    auto& contact = found->second;
+    if (std::exchange(contact.m_is_confirmed, true) &&
+        now - contact.m_confirmed_at < confirm_interval)
+        return;
+    contact.m_confirmed_at = now;
+    out.emplace_back(
+        send{from, contact_confirmed{load.m_sent_at, contact.m_ends, version,
+                                     whole_ms(load_interval())}});
+}
+
+auto run_placer::load_interval() const -> duration
+{
+    return duration{std::chrono::seconds{m_workers.size()}} /
+           m_settings.m_loads_per_s;
+}
+
+auto run_placer::on(time_point now, node_id from, offer_room const& offered,
+                    effects& out) -> void
+{
+    auto const found = m_jobs.find(offered.m_job);
+    auto order = std::optional<order_runs>{};
+    if (found != m_jobs.end())
+    {
+        found->second.offered(offered.m_step, from, offered.m_count);
+        order = m_planner.fill(now, found->second, from, offered);
+    }
+    out.emplace_back(log_line{
+        log_level::debug,
+        "room_offered",
+        {{"job",
+          found == m_jobs.end() ? std::string{} : found->second.job().m_id},
+         {"worker", std::string{m_workers.worker_name(from)}},
+         {"offered", std::to_string(offered.m_count)},
+         {"taken", std::to_string(order ? order->m_runs.size() : 0)}}});
+    if (!order)
+    {
+        out.emplace_back(send{from, decline_room{offered.m_offer}});
+        return;
+    }
+    send_order(found->second, from, std::move(*order), out);
+    if (!found->second.has_ready_tasks())
+        note_placed(now, found->second, out);
+}
+
+auto run_placer::note_placed(time_point now, placed_job& job, effects& out)
+    -> void
+{
+    m_unplaced.erase(job.number());
+    m_planner.observe_wait(now, job);
+    release(job, out);
+}
+
+auto run_placer::take_end(time_point now, node_id agent, run_end const& end,
+                          random_source& random, effects& out) -> void
+{
+    auto const job = m_jobs.find(end.m_run.m_job);
+    if (job == m_jobs.end() || m_ended.contains(job->first))
+        return;
+    auto* const task = job->second.find(end.m_run.m_task);
+    if (task == nullptr || task->m_state != task_state::placed ||
+        task->m_run != end.m_run.m_run || task->m_agent != agent)
+        return;
+    if (end.m_outcome != run_outcome::refused)
+        job->second.note_started();
+    if (end.m_outcome == run_outcome::succeeded)
+    {
+        m_planner.observe(job->second, *task,
+                          std::chrono::milliseconds{end.m_run_ms});
+        job->second.succeeded(*task);
+        if (job->second.is_complete())
+            conclude(job->second, true);
+        else
+            carry_on(now, job->first, random, out);
+        return;
+    }
+    if (end.m_reason == reason::queue_full)
+    {
+        ++task->m_misses;
+        m_workers.mark_full(agent);
+    }
+    out.emplace_back(
+        log_line{log_level::info,
+                 "run_came_back",
+                 {{"job", job->second.job().m_id},
+                  {"task", task_field(task->m_index)},
+                  {"run", std::to_string(end.m_run.m_run)},
+                  {"worker", std::string{m_workers.worker_name(agent)}},
+                  {"outcome", std::string{to_string(end.m_outcome)}},
+                  {"reason", std::string{to_string(end.m_reason)}},
+                  {"ran_ms", std::to_string(end.m_run_ms)}}});
+    job->second.came_back(*task);
+    auto const has_failed = end.m_outcome == run_outcome::failed;
+    if (has_failed || end.m_reason == reason::call_failed)
+        task->m_avoided.push_back(agent);
+    // Runs that were stopped without progress do not count.
+    if (has_failed && ++task->m_failures >= job->second.queue().m_run_limit)
+    {
+        conclude(job->second, false);
+        return;
+    }
+    carry_on(now, job->first, random, out);
+}
+
+auto run_placer::send_order(placed_job& job, node_id agent, order_runs&& order,
+                            effects& out) -> void
+{
+    for (auto const& run : order.m_runs)
+    {
+        auto& task = *job.find(run.m_task);
+        task.m_run = run.m_run;
+        job.ordered(task, agent, order.m_order);
+    }
+    m_agents[agent].m_jobs.insert(job.number());
+    out.emplace_back(send{agent, std::move(order)});
+}
+
+auto run_placer::release(placed_job& job, effects& out) -> void
+{
+    for (auto const agent : job.take_reservations())
+        out.emplace_back(send{agent, release_room{job.number()}});
+}
+
+auto run_placer::forget_reservations(node_id agent) -> void
+{
+    for (auto const number : m_unplaced)
+        if (auto const job = m_jobs.find(number); job != m_jobs.end())
+            job->second.forget_reservations(agent);
+}
+
+auto run_placer::withdraw(placed_job const& job, effects& out) -> void
+{
+    auto orders = std::map<node_id, withdraw_runs>{};
+    for (auto const& task : job.tasks())
+        if (task.m_state == task_state::placed)
+            orders[task.m_agent].m_runs.push_back(job.ref(task));
+    for (auto& [agent, order] : orders)
+        out.emplace_back(send{agent, std::move(order)});
+}
+
+auto run_placer::lose_runs(time_point now, node_id agent, random_source& random,
+                           effects& out) -> void
+{
+    auto& contact = m_agents.at(agent);
+    auto const jobs = std::exchange(contact.m_jobs, {});
+    for (auto const number : jobs)
+    {
+        auto const job = m_jobs.find(number);
+        if (job == m_jobs.end())
+            continue;
+        for (auto& task : job->second.tasks())
+            if (task.m_state == task_state::placed && task.m_agent == agent)
+                lose_run(job->second, task, "no contact",
+                         now - contact.m_confirmed_at, out);
+        carry_on(now, job->first, random, out);
+    }
+}
+
+auto run_placer::lose_run(placed_job& job, placed_task& task,
+                          std::string_view cause, duration silence,
+                          effects& out) -> void
+{
+    out.emplace_back(log_line{log_level::warning,
+                              "run_lost",
+                              {{"job", job.job().m_id},
+                               {"task", task_field(task.m_index)},
+                               {"run", std::to_string(task.m_run)},
+                               {"worker", m_agents.at(task.m_agent).m_worker},
+                               {"cause", std::string{cause}},
+                               {"silent_ms", ms_field(silence)}}});
+    job.came_back(task);
+}
+
+auto run_placer::retry_later(time_point now, std::uint64_t job) -> void
+{
+    m_unplaced.insert(job);
+    m_retry_at = std::min(m_retry_at, now + retry_interval);
+}
+
+} // namespace hickorylatch::core
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -255,10 +255,11 @@
     if (auto const& wanted = m_settings.m_broker)
     {
         m_node.m_address = advertised(*wanted);
-        m_node.m_broker.emplace(
-            core::broker_settings{seeds, wanted->m_spread_factor,
-                                  std::chrono::milliseconds{wanted->m_lease_ms},
-                                  wanted->m_loads_per_s});
+        auto placer = core::run_placer_settings{};
+        placer.m_spread_factor = wanted->m_spread_factor;
+        placer.m_lease = std::chrono::milliseconds{wanted->m_lease_ms};
+        placer.m_loads_per_s = wanted->m_loads_per_s;
+        m_node.m_broker.emplace(core::broker_settings{seeds, placer});
     }
     if (auto const& wanted = m_settings.m_executor)
         m_node.m_executor.emplace(core::executor_settings{
--- a/tests/core/placement/test_overload.cpp
+++ b/tests/core/placement/test_overload.cpp
@@ -136,5 +136,5 @@
     BOOST_TEST(got.m_delayed <= got.m_offered * 2 / 100);
     // Guards against entries that have no processor time left for their jobs
     // because each worker tells them of every start and end.
-    BOOST_TEST(got.m_loads_per_s <= core::broker_settings{}.m_loads_per_s);
+    BOOST_TEST(got.m_loads_per_s <= core::run_placer_settings{}.m_loads_per_s);
 }
