--- a/src/core/model/command.cpp
+++ b/src/core/model/command.cpp
@@ -14,6 +14,8 @@
             total += each.m_body.size();
     if (auto const* installed = std::get_if<install_configuration>(&content))
         total += installed->m_configuration.m_document.size();
+    if (auto const* accepted = std::get_if<accept_job>(&content))
+        total += accepted->m_job.m_body.size();
     return total;
 }
 
--- a/src/core/model/command.hpp
+++ b/src/core/model/command.hpp
@@ -3,6 +3,7 @@
 
 #include "core/model/configuration.hpp"
 #include "core/model/ids.hpp"
+#include "core/model/job.hpp"
 #include "core/model/submission.hpp"
 #include "core/model/verdict.hpp"
 
@@ -106,11 +107,64 @@
 };
 BOOST_DESCRIBE_STRUCT(change_membership, (), (m_request_id, m_members))
 
+/// Accepts a step job that must survive. The index of the entry is its number.
+/// Changes nothing if the identifier is known.
+struct accept_job
+{
+    step_job m_job;
+    /// As it is when the job is accepted.
+    job_queue m_queue;
+};
+BOOST_DESCRIBE_STRUCT(accept_job, (), (m_job, m_queue))
+
+/// The end of a run of a durable job's task.
+struct task_end
+{
+    std::uint64_t m_job = 0;
+    task_index m_task;
+    /// Otherwise it failed.
+    bool m_has_succeeded = false;
+};
+BOOST_DESCRIBE_STRUCT(task_end, (), (m_job, m_task, m_has_succeeded))
+
+/// Takes note of ends, in order. An agent is told so afterwards, and only then
+/// lets its worker forget them.
+struct record_ends
+{
+    std::vector<task_end> m_ends;
+};
+BOOST_DESCRIBE_STRUCT(record_ends, (), (m_ends))
+
+/// Cancels a durable job that has not ended.
+struct drop_job
+{
+    std::uint64_t m_job = 0;
+};
+BOOST_DESCRIBE_STRUCT(drop_job, (), (m_job))
+
+/// Forgets durable jobs that have ended.
+struct forget_jobs
+{
+    std::vector<std::uint64_t> m_jobs;
+};
+BOOST_DESCRIBE_STRUCT(forget_jobs, (), (m_jobs))
+
+/// Changes the set of agents that may hold runs of durable jobs. A new leader
+/// starts no run that one of them may hold.
+struct change_agents
+{
+    std::vector<node_id> m_added;
+    std::vector<node_id> m_removed;
+};
+BOOST_DESCRIBE_STRUCT(change_agents, (), (m_added, m_removed))
+
 /// What the replicated log holds. Order is part of the stored format: new
 /// alternatives go to the end.
-using command = std::variant<begin_term, accept_submission, reallot,
-                             end_submission, change_configuration, expire_keys,
-                             change_membership, install_configuration>;
+using command =
+    std::variant<begin_term, accept_submission, reallot, end_submission,
+                 change_configuration, expire_keys, change_membership,
+                 install_configuration, accept_job, record_ends, drop_job,
+                 forget_jobs, change_agents>;
 
 /// Bytes of what callers and operators put into a command. The rest is small.
 [[nodiscard]] auto content_size(command const& content) -> std::size_t;
--- a/src/core/model/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -98,17 +98,6 @@
     attempt_id m_attempt;
 };
 
-enum class job_state : std::uint8_t
-{
-    queued,
-    active,
-    completed,
-    failed,
-    cancelled
-};
-
-[[nodiscard]] auto to_string(job_state state) -> std::string_view;
-
 /// Answers a client that posted a step job or asked for its state.
 struct answer_job
 {
--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -114,6 +114,8 @@
     std::string m_host;
     std::string m_path;
     std::string m_job_id;
+    /// How long the client waits, in milliseconds; 0 if it did not say.
+    std::uint32_t m_client_wait_ms = 0;
 };
 
 /// The worker beside this agent reported itself. A report that could not be
--- a/src/core/model/job.cpp
+++ b/src/core/model/job.cpp
@@ -58,4 +58,22 @@
     return "unknown";
 }
 
+auto to_string(job_state state) -> std::string_view
+{
+    switch (state)
+    {
+    case job_state::queued:
+        return "queued";
+    case job_state::active:
+        return "active";
+    case job_state::completed:
+        return "completed";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 } // namespace hickorylatch::core
--- a/src/core/model/job.hpp
+++ b/src/core/model/job.hpp
@@ -119,6 +119,17 @@
 
 [[nodiscard]] auto to_string(run_outcome outcome) -> std::string_view;
 
+enum class job_state : std::uint8_t
+{
+    queued, ///< No task has ended.
+    active,
+    completed, ///< All tasks have succeeded.
+    failed,    ///< A task has failed as often as its queue allows.
+    cancelled
+};
+
+[[nodiscard]] auto to_string(job_state state) -> std::string_view;
+
 } // namespace hickorylatch::core
 
 #endif
--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -43,7 +43,8 @@
                                          "offer_room",
                                          "decline_room",
                                          "release_room",
-                                         "reservation_dropped"});
+                                         "reservation_dropped",
+                                         "lead_jobs"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(content.index());
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -147,9 +147,40 @@
 };
 BOOST_DESCRIBE_STRUCT(read_configuration, (), (m_unused))
 
-using operation = std::variant<query_status, change_configuration, cancel_job,
-                               change_membership, found_control_group,
-                               install_configuration, read_configuration>;
+/// Stores a durable job. Repeating it changes nothing.
+struct post_job
+{
+    step_job m_job;
+    job_queue m_queue;
+};
+BOOST_DESCRIBE_STRUCT(post_job, (), (m_job, m_queue))
+
+/// Asks for the state of a durable job, as of after the question.
+struct find_job
+{
+    std::string m_id;
+};
+BOOST_DESCRIBE_STRUCT(find_job, (), (m_id))
+
+/// Cancels a durable job.
+struct cancel_durable_job
+{
+    std::string m_id;
+};
+BOOST_DESCRIBE_STRUCT(cancel_durable_job, (), (m_id))
+
+/// Asks how many durable jobs of a queue wait for their first run.
+struct count_waiting_jobs
+{
+    std::string m_queue;
+};
+BOOST_DESCRIBE_STRUCT(count_waiting_jobs, (), (m_queue))
+
+using operation =
+    std::variant<query_status, change_configuration, cancel_job,
+                 change_membership, found_control_group, install_configuration,
+                 read_configuration, post_job, find_job, cancel_durable_job,
+                 count_waiting_jobs>;
 
 struct operate
 {
@@ -165,9 +196,14 @@
     configuration_version m_version = 0;
     /// JSON text with what was asked for; empty for a change.
     std::string m_document;
+    /// State of the job that was asked for.
+    job_state m_job_state = job_state::queued;
+    /// Number that was asked for.
+    std::uint64_t m_count = 0;
 };
 BOOST_DESCRIBE_STRUCT(operate_result, (),
-                      (m_sequence, m_verdict, m_version, m_document))
+                      (m_sequence, m_verdict, m_version, m_document,
+                       m_job_state, m_count))
 
 // Agent and control leader.
 
@@ -602,6 +638,14 @@
 };
 BOOST_DESCRIBE_STRUCT(withdraw_runs, (), (m_runs))
 
+/// The sender leads the control group and places durable jobs. Runs that an
+/// agent holds for an earlier leader are the sender's from now on.
+struct lead_jobs
+{
+    term_number m_term = 0;
+};
+BOOST_DESCRIBE_STRUCT(lead_jobs, (), (m_term))
+
 struct run_end
 {
     run_ref m_run;
@@ -613,14 +657,26 @@
 };
 BOOST_DESCRIBE_STRUCT(run_end, (), (m_run, m_outcome, m_reason, m_run_ms))
 
+/// An end that an agent found at its worker and knows no order for: an earlier
+/// process of the agent gave it.
+struct found_end
+{
+    std::string m_job_id;
+    task_index m_task;
+    run_outcome m_outcome = run_outcome::failed;
+};
+BOOST_DESCRIBE_STRUCT(found_end, (), (m_job_id, m_task, m_outcome))
+
 /// Ends of the receiver's runs. Sent again on a new link until confirmed.
 struct runs_ended
 {
-    /// Counts these messages of the agent to all entries, from 1.
+    /// Counts these messages of the agent to all processes, from 1.
     std::uint64_t m_number = 0;
     std::vector<run_end> m_ends;
+    /// Told to the leader of the control group only.
+    std::vector<found_end> m_found;
 };
-BOOST_DESCRIBE_STRUCT(runs_ended, (), (m_number, m_ends))
+BOOST_DESCRIBE_STRUCT(runs_ended, (), (m_number, m_ends, m_found))
 
 /// Everything that travels between processes of the system. The position of
 /// an alternative is its number on the wire: new ones go to the end.
@@ -631,7 +687,7 @@
     append_reply, install_snapshot, install_reply, found_group, hand_over,
     process_list, worker_announcement, worker_load, contact_confirmed,
     order_runs, withdraw_runs, runs_ended, reserve_room, offer_room,
-    decline_room, release_room, reservation_dropped>;
+    decline_room, release_room, reservation_dropped, lead_jobs>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -36,6 +36,13 @@
     return {state, why, {}, 0};
 }
 
+auto to_wait(std::uint32_t client_wait_ms) -> duration
+{
+    return client_wait_ms == 0
+               ? default_wait
+               : duration{std::chrono::milliseconds{client_wait_ms}};
+}
+
 } // namespace
 
 broker::broker(broker_settings settings)
@@ -43,15 +50,18 @@
 {
 }
 
-auto broker::connected(hello const& peer) -> void
+auto broker::connected(hello const& peer, effects& out) -> void
 {
     if (peer.m_role == role::agent)
         m_placer.connected(peer.m_node);
+    if (peer.m_role == role::control)
+        m_requests.connected(peer.m_node, out);
 }
 
-auto broker::disconnected(time_point now, node_id peer) -> void
+auto broker::disconnected(time_point now, node_id peer, effects& out) -> void
 {
     m_placer.disconnected(now, peer);
+    m_requests.disconnected(peer, out);
 }
 
 auto broker::receive(time_point now, node_id from, message const& incoming,
@@ -64,6 +74,11 @@
         on(*change, out);
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
+    else if (auto const* result = std::get_if<operate_result>(&incoming))
+    {
+        if (auto const done = m_requests.answered(from, *result, out))
+            answer(done->m_request, done->m_result, out);
+    }
     take_early(now, random, out);
 }
 
@@ -107,9 +122,9 @@
         return refused(reason::invalid, request.m_job.m_unsupported);
     if (!queue->m_unsupported.empty())
         return refused(reason::invalid, queue->m_unsupported);
-    if (request.m_job.m_is_durable)
-        return refused(reason::invalid, "durable jobs are not taken yet");
-    if (!m_placer.workers().has_usable(now, queue->m_service))
+    // A durable job waits until a worker is there.
+    if (!request.m_job.m_is_durable &&
+        !m_placer.workers().has_usable(now, queue->m_service))
         return refused(reason::no_capacity, "no worker can be reached",
                        busy_retry_ms);
     return job_verdict(run_state::ran, reason::none);
@@ -152,10 +167,14 @@
     auto const* queue =
         find_queue(m_configuration, request.m_host, request.m_path);
     auto const outcome = refusal(now, request, queue);
-    if (outcome.m_run == run_state::ran)
-        take(now, request, *queue, random, out);
-    else
+    if (outcome.m_run != run_state::ran)
         refuse(request, outcome, out);
+    else if (request.m_job.m_is_durable)
+        m_requests.ask({request.m_exchange, post_job{request.m_job, *queue},
+                        now + to_wait(request.m_client_wait_ms)},
+                       out);
+    else
+        take(now, request, *queue, random, out);
 }
 
 auto broker::take_early(time_point now, random_source& random, effects& out)
@@ -177,10 +196,7 @@
                   job_queue const& queue, random_source& random, effects& out)
     -> void
 {
-    auto const wait =
-        request.m_client_wait_ms != 0
-            ? duration{std::chrono::milliseconds{request.m_client_wait_ms}}
-            : default_wait;
+    auto const wait = to_wait(request.m_client_wait_ms);
     auto const number = ++m_last_job;
     m_placer.add({number, request, queue, now, now + wait});
     m_exchanges[request.m_exchange] = number;
@@ -235,37 +251,77 @@
              {"unplaced", std::to_string(made.m_unplaced)}}};
 }
 
-auto broker::asked(job_asked const& request, effects& out) -> void
+auto broker::asked(time_point now, job_asked const& request, effects& out)
+    -> void
 {
     auto const* queue =
         find_queue(m_configuration, request.m_host, request.m_path);
-    auto const unknown =
-        refused(m_configuration.m_version == 0 ? reason::lease_expired
-                                               : reason::unknown_service);
-    auto const known = job_verdict(run_state::ran, reason::none);
-    if (request.m_question == job_question::pending)
+    auto wanted = control_request{request.m_exchange, find_job{}, now};
+    wanted.m_deadline += to_wait(request.m_client_wait_ms);
+    auto const local = m_by_id.find(request.m_job_id);
+    if (queue == nullptr)
+        answer(wanted, {.m_verdict = unknown_queue()}, out);
+    else if (request.m_question == job_question::pending)
+    {
+        wanted.m_operation = count_waiting_jobs{queue->m_name};
+        m_requests.ask(std::move(wanted), out);
+    }
+    else if (local != m_by_id.end())
+    {
+        auto const known = job_verdict(run_state::ran, reason::none);
+        auto const is_cancelled = request.m_question == job_question::cancel;
+        auto const state =
+            is_cancelled ? job_state::cancelled : job_state::active;
+        // An uncertain answer would let the client send the job again.
+        if (is_cancelled)
+            finish(now, local->second, known, state, out);
+        answer(wanted, {.m_verdict = known, .m_job_state = state}, out);
+    }
+    else
+    {
+        if (request.m_question == job_question::cancel)
+            wanted.m_operation = cancel_durable_job{request.m_job_id};
+        else
+            wanted.m_operation = find_job{request.m_job_id};
+        m_requests.ask(std::move(wanted), out);
+    }
+}
+
+auto broker::unknown_queue() const -> verdict
+{
+    return refused(m_configuration.m_version == 0 ? reason::lease_expired
+                                                  : reason::unknown_service);
+}
+
+auto broker::answer(control_request const& request,
+                    operate_result const& result, effects& out) -> void
+{
+    auto const* counted = std::get_if<count_waiting_jobs>(&request.m_operation);
+    if (counted == nullptr)
     {
-        auto const waiting = std::ranges::count_if(
-            m_placer.jobs(),
-            [&](auto const& each)
-            {
-                return queue != nullptr &&
-                       each.second.queue().m_name == queue->m_name &&
-                       !each.second.may_have_started();
-            });
-        out.emplace_back(answer_pending{request.m_exchange,
-                                        queue == nullptr ? unknown : known,
-                                        static_cast<std::uint64_t>(waiting)});
+        if (auto const* posted = std::get_if<post_job>(&request.m_operation))
+            out.emplace_back(log_line{
+                log_level::info,
+                "durable_job_answered",
+                {{"job", posted->m_job.m_id},
+                 {"queue", posted->m_queue.m_name},
+                 {"verdict", std::string{to_string(result.m_verdict.m_run)}},
+                 {"reason",
+                  std::string{to_string(result.m_verdict.m_reason)}}}});
+        out.emplace_back(answer_job{request.m_exchange, result.m_verdict,
+                                    result.m_job_state});
         return;
     }
-    auto const found = m_by_id.find(request.m_job_id);
-    auto const is_known = queue != nullptr && found != m_by_id.end();
+    auto const here = std::ranges::count_if(
+        m_placer.jobs(),
+        [&](auto const& each)
+        {
+            return each.second.queue().m_name == counted->m_queue &&
+                   !each.second.may_have_started();
+        });
     out.emplace_back(
-        answer_job{request.m_exchange,
-                   queue == nullptr ? unknown
-                   : is_known       ? known
-                              : refused(reason::key_forgotten, "no such job"),
-                   job_state::active});
+        answer_pending{request.m_exchange, result.m_verdict,
+                       result.m_count + static_cast<std::uint64_t>(here)});
 }
 
 auto broker::abandoned(time_point now, exchange_id exchange, effects& out)
@@ -276,6 +332,7 @@
                   {
                       return early.second.m_exchange == exchange;
                   });
+    m_requests.abandon(exchange);
     auto const found = m_exchanges.find(exchange);
     if (found == m_exchanges.end())
         return;
@@ -340,6 +397,8 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
         fail(now, m_deadlines.begin()->second, reason::deadline, out);
+    for (auto const& late : m_requests.expire(now))
+        answer(late, {.m_verdict = uncertain(reason::no_leader)}, out);
     if (now >= m_close_at)
     {
         m_close_at = never;
@@ -347,6 +406,7 @@
     }
     take_early(now, random, out);
     m_placer.tick(now, random, out);
+    static_cast<void>(m_placer.take_gone());
     settle(now, out);
 }
 
@@ -372,15 +432,21 @@
 
 auto broker::is_idle(time_point now) const -> bool
 {
-    return now >= m_refuse_at && jobs() == 0 && m_early.empty();
+    return now >= m_refuse_at && is_empty();
+}
+
+auto broker::is_empty() const -> bool
+{
+    return jobs() == 0 && m_early.empty() && m_requests.size() == 0;
 }
 
 auto broker::next_deadline() const -> time_point
 {
-    auto first = std::min(m_placer.next_deadline(), m_close_at);
+    auto first = std::min(
+        {m_placer.next_deadline(), m_requests.next_deadline(), m_close_at});
     if (!m_early.empty())
         first = std::min(first, m_started_at + start_time);
-    if (m_refuse_at != never && m_close_at == never && jobs() == 0)
+    if (m_refuse_at != never && m_close_at == never && is_empty())
         first = std::min(first, m_refuse_at);
     if (!m_deadlines.empty())
         first = std::min(first, m_deadlines.begin()->first);
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -4,6 +4,7 @@
 #include "core/model/configuration.hpp"
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
+#include "core/placement/control_requests.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/run_placer.hpp"
 
@@ -25,9 +26,11 @@
     run_placer_settings m_placer;
 };
 
-/// Takes step jobs that need not survive this process, places their tasks on
-/// workers through the agents beside them, and answers when they have ended.
-/// Works by the last configuration heard of and needs no control replica.
+/// Takes step jobs. It places those that need not survive this process itself,
+/// through the agents beside workers, and answers when they have ended; for
+/// that it works by the last configuration heard of and needs no control
+/// replica. It passes durable jobs, and questions about them, on to the control
+/// group.
 class broker
 {
 public:
@@ -36,13 +39,13 @@
     auto operator=(broker const&) -> broker& = delete;
 
     auto start(time_point now) -> void;
-    auto connected(hello const& peer) -> void;
-    auto disconnected(time_point now, node_id peer) -> void;
+    auto connected(hello const& peer, effects& out) -> void;
+    auto disconnected(time_point now, node_id peer, effects& out) -> void;
     auto receive(time_point now, node_id from, message const& incoming,
                  random_source& random, effects& out) -> void;
     auto arrived(time_point now, job_arrived const& request,
                  random_source& random, effects& out) -> void;
-    auto asked(job_asked const& request, effects& out) -> void;
+    auto asked(time_point now, job_asked const& request, effects& out) -> void;
     auto abandoned(time_point now, exchange_id exchange, effects& out) -> void;
     auto tick(time_point now, random_source& random, effects& out) -> void;
     /// Takes the control replicas that changed settings name.
@@ -64,8 +67,14 @@
     auto on(configuration_changed const& change, effects& out) -> void;
     /// Answers the jobs that came to their end.
     auto settle(time_point now, effects& out) -> void;
+    /// Answers a client for which the control group was asked.
+    auto answer(control_request const& request, operate_result const& result,
+                effects& out) -> void;
     [[nodiscard]] auto refusal(time_point now, job_arrived const& request,
                                job_queue const* queue) const -> verdict;
+    [[nodiscard]] auto unknown_queue() const -> verdict;
+    /// No client waits for an answer.
+    [[nodiscard]] auto is_empty() const -> bool;
     /// True while this process may still learn what it needs to serve.
     [[nodiscard]] auto is_starting(time_point now) const -> bool;
     auto refuse(job_arrived const& request, verdict const& why, effects& out)
@@ -90,6 +99,7 @@
     link_targets m_links;
     configuration m_configuration;
     run_placer m_placer;
+    control_requests m_requests;
     std::map<std::string, std::uint64_t, std::less<>> m_by_id;
     std::map<exchange_id, std::uint64_t> m_exchanges;
     /// Jobs that came before this process knew a configuration and a worker,
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -1,8 +1,10 @@
 #include "core/placement/executor.hpp"
 
+#include "core/placement/contact_timeouts.hpp"
 #include "core/placement/log_fields.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,10 +16,6 @@
 namespace
 {
 
-// An entry that has not confirmed contact for this long may have given its
-// runs to other workers. Must be shorter than a client's delay before it sends
-// a job again.
-constexpr auto contact_timeout = duration{std::chrono::milliseconds{500}};
 // A start that gets no answer may be carried out until its own lease has run
 // out; a short one tells sooner that it was not. The next poll extends it.
 constexpr auto start_lease = duration{std::chrono::milliseconds{350}};
@@ -36,6 +34,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// Ends of durable jobs' runs that the leader must record.
+auto is_lasting(run_outcome outcome) -> bool
+{
+    return outcome == run_outcome::succeeded || outcome == run_outcome::failed;
+}
+
 auto count_run(run_outcome outcome) -> observe_metric
 {
     return {"hickorylatch_runs_total",
@@ -52,18 +56,90 @@
 auto executor::connected(time_point now, hello const& peer, effects& out)
     -> void
 {
+    // The leader of the control group makes itself known by a message.
     if (peer.m_role != role::entry)
         return;
-    auto& entry = m_contacts[peer.m_node];
+    open_contact(peer.m_node);
+    settle(now, out);
+}
+
+auto executor::open_contact(node_id peer) -> contact&
+{
+    auto& entry = m_contacts[peer];
     entry.m_is_connected = true;
     entry.m_is_announced = false;
     entry.m_told_version = 0;
     entry.m_loads = {};
     // Numbers of orders count per link, and reservations end with it.
     entry.m_order = 0;
-    m_queue.release(peer.m_node, std::nullopt);
-    m_offers.drop(peer.m_node);
-    settle(now, out);
+    m_queue.release(peer, std::nullopt);
+    m_offers.drop(peer);
+    return entry;
+}
+
+auto executor::leader() -> contacts::iterator
+{
+    return std::ranges::find_if(m_contacts,
+                                [](auto const& each)
+                                {
+                                    return each.second.m_term != 0;
+                                });
+}
+
+auto executor::on(node_id from, lead_jobs const& news, effects& out) -> void
+{
+    auto const before = leader();
+    if (before != m_contacts.end() && before->second.m_term > news.m_term)
+        return;
+    auto old = std::optional<contacts::value_type>{};
+    if (before != m_contacts.end() && before->first != from)
+    {
+        old.emplace(*before);
+        m_contacts.erase(before);
+    }
+    auto& present = open_contact(from);
+    present.m_term = news.m_term;
+    if (old)
+        hand_over(*old, from, present);
+    tell_found_ends();
+    out.emplace_back(
+        log_line{log_level::info,
+                 "jobs_leader_known",
+                 {{"leader", node_field(from)},
+                  {"term", std::to_string(news.m_term)},
+                  {"before", old ? node_field(old->first) : "none"}}});
+}
+
+auto executor::hand_over(contacts::value_type const& old, node_id to,
+                         contact& present) -> void
+{
+    auto const& [before, state] = old;
+    present.m_until = state.m_until;
+    present.m_is_expired = state.m_is_expired;
+    present.m_unconfirmed = state.m_unconfirmed;
+    present.m_new_ends = state.m_new_ends;
+    present.m_found_ends = state.m_found_ends;
+    present.m_new_numbers = state.m_new_numbers;
+    m_queue.release(before, std::nullopt);
+    m_offers.drop(before);
+    for (auto& [key, run] : m_live)
+        if (run.m_job->m_entry == before)
+            run.m_job->m_entry = to;
+    for (auto const& [place, run] : m_queue.all())
+        if (run.m_job->m_entry == before)
+            run.m_job->m_entry = to;
+}
+
+auto executor::tell_found_ends() -> void
+{
+    auto const present = leader();
+    if (present == m_contacts.end())
+        return;
+    for (auto& [number, end] : std::exchange(m_found, {}))
+    {
+        present->second.m_new_numbers.push_back(number);
+        present->second.m_found_ends.push_back(std::move(end));
+    }
 }
 
 auto executor::disconnected(time_point now, node_id peer, effects& out) -> void
@@ -94,6 +170,8 @@
     }
     else if (auto const* known = std::get_if<process_list>(&incoming))
         m_links.follow(from, *known, out);
+    else if (auto const* leading = std::get_if<lead_jobs>(&incoming))
+        on(from, *leading, out);
     else if (auto const* wanted = std::get_if<reserve_room>(&incoming))
         on(now, from, *wanted, out);
     else if (auto const* declined = std::get_if<decline_room>(&incoming))
@@ -218,7 +296,9 @@
     if (found == m_contacts.end())
         return;
     auto& entry = found->second;
-    entry.m_until = std::max(entry.m_until, news.m_sent_at + contact_timeout);
+    auto const timeout =
+        entry.m_term == 0 ? entry_contact_timeout : leader_contact_timeout;
+    entry.m_until = std::max(entry.m_until, news.m_sent_at + timeout);
     entry.m_is_expired = entry.m_until <= now;
     entry.m_loads.set_interval(
         std::chrono::milliseconds{news.m_load_interval_ms});
@@ -231,6 +311,40 @@
     while (!entry.m_unconfirmed.empty() &&
            entry.m_unconfirmed.front().m_number <= news.m_ends)
         entry.m_unconfirmed.pop_front();
+    if (entry.m_term != 0)
+        release_ends(news.m_ends);
+}
+
+auto executor::release_ends(std::uint64_t confirmed) -> void
+{
+    auto const released =
+        std::erase_if(m_unrecorded,
+                      [confirmed](auto const& each)
+                      {
+                          return each.second != 0 && each.second <= confirmed;
+                      });
+    m_has_unacknowledged = m_has_unacknowledged || released != 0;
+}
+
+auto executor::acknowledgeable() const -> std::uint64_t
+{
+    return m_unrecorded.empty()
+               ? m_listed
+               : std::min(m_listed, m_unrecorded.begin()->first - 1);
+}
+
+auto executor::begin_lapse(time_point now, effects& out) -> void
+{
+    if (std::exchange(m_is_lapsing, true))
+        return;
+    m_is_load_changed = true;
+    out.emplace_back(log_line{
+        log_level::warning,
+        "worker_lease_left_to_lapse",
+        {{"worker", m_worker ? m_worker->m_name : ""},
+         {"unrecorded_ends", std::to_string(m_unrecorded.size())},
+         {"left_ms",
+          ms_field(m_clock.certainly_reached(m_lease_until_ms) - now)}}});
 }
 
 auto executor::reported(time_point now, worker_report const& report,
@@ -287,7 +401,10 @@
     // a higher token than the one before it.
     m_token = static_cast<std::uint64_t>(
         std::max(report.m_clock_ms, std::int64_t{1}));
-    m_acknowledged = 0;
+    m_listed = 0;
+    m_unrecorded.clear();
+    m_found.clear();
+    m_is_lapsing = false;
     m_lease_until_ms = 0;
     m_polls.reset();
     m_listed_at = {};
@@ -417,7 +534,7 @@
     else
     {
         auto const was_reachable = m_polls.is_reachable();
-        auto const sent_at = m_polls.answered(answer.m_poll);
+        auto const sent_at = m_polls.answered(now, answer.m_poll);
         if (!sent_at)
             return;
         if (!was_reachable)
@@ -466,14 +583,23 @@
 auto executor::take_end(time_point now, ended_run const& ended, effects& out)
     -> void
 {
-    if (ended.m_number <= m_acknowledged)
+    if (ended.m_number <= m_listed)
         return;
-    m_acknowledged = ended.m_number;
+    m_listed = ended.m_number;
     m_has_unacknowledged = true;
     auto const found = m_live.find({ended.m_run.m_job_id, ended.m_run.m_task});
-    if (found == m_live.end() || found->second.m_number != ended.m_run.m_run)
+    if (found != m_live.end() && found->second.m_number == ended.m_run.m_run)
+        return finish(now, found, ended.m_outcome, reason::none, out,
+                      ended.m_number);
+    // A run of an earlier process of this agent. It may belong to a job that
+    // must survive.
+    if ((m_is_surveyed && m_strays.empty()) || !is_lasting(ended.m_outcome))
         return;
-    finish(now, found, ended.m_outcome, reason::none, out);
+    m_unrecorded[ended.m_number] = 0;
+    m_found.emplace_back(
+        ended.m_number,
+        found_end{ended.m_run.m_job_id, ended.m_run.m_task, ended.m_outcome});
+    tell_found_ends();
 }
 
 auto executor::take_list(time_point now, time_point sent_at,
@@ -645,7 +771,8 @@
 }
 
 auto executor::finish(time_point now, live_runs::iterator ended,
-                      run_outcome outcome, reason why, effects& out) -> void
+                      run_outcome outcome, reason why, effects& out,
+                      std::uint64_t number) -> void
 {
     auto const run = std::move(ended->second);
     auto const [job, task] = ended->first;
@@ -662,6 +789,12 @@
     report.m_reason = run.m_is_hung ? reason::call_failed : why;
     report.m_run_ms = whole_ms(now - run.m_started_at);
     contact->second.m_new_ends.push_back(report);
+    if (contact->second.m_term == 0 || number == 0 || !is_lasting(outcome))
+        return;
+    m_unrecorded[number] = 0;
+    contact->second.m_new_numbers.push_back(number);
+    if (contact->second.m_is_expired)
+        begin_lapse(now, out);
 }
 
 auto executor::log_end(time_point now, std::string const& job,
@@ -756,6 +889,11 @@
         lose_worker(now, out);
         return;
     }
+    if (m_is_lapsing && now >= lapse_at)
+    {
+        m_is_lapsing = false;
+        m_is_load_changed = true;
+    }
     for (auto each = m_live.begin(); each != m_live.end();)
     {
         auto const current = each++;
@@ -817,6 +955,8 @@
             if (is_new)
                 order_stop(now, live, out);
         }
+        if (is_new && current->second.m_term != 0 && !m_unrecorded.empty())
+            begin_lapse(now, out);
         if (is_new && has_runs)
             out.emplace_back(log_line{log_level::warning,
                                       "entry_contact_lost",
@@ -828,7 +968,10 @@
                 refuse(now, run->second, reason::lease_expired, out);
             run = is_its ? m_queue.erase(run) : std::next(run);
         }
-        if (!has_runs && !current->second.m_is_connected)
+        // The next leader is told of ends that this one did not record.
+        auto const is_needed = current->second.m_term != 0 &&
+                               !current->second.m_unconfirmed.empty();
+        if (!has_runs && !current->second.m_is_connected && !is_needed)
             m_contacts.erase(current);
     }
 }
@@ -867,15 +1010,16 @@
     if (!m_worker)
         return;
     auto const has_runs = !m_live.empty() || !m_strays.empty();
+    m_polls.hold_ends(acknowledgeable() < m_listed);
     while (auto const due = m_polls.next(now, has_runs, m_has_unacknowledged))
     {
         auto order = poll_runs{};
         order.m_poll = due->m_number;
         order.m_target = target();
-        order.m_acknowledged = m_acknowledged;
+        order.m_acknowledged = acknowledgeable();
         order.m_wait_ms = whole_ms(due->m_wait);
         // A worker that does not answer is left to let its runs lapse.
-        if (m_polls.is_reachable() && !m_live.empty())
+        if (m_polls.is_reachable() && !m_live.empty() && !m_is_lapsing)
         {
             order.m_lease_until_ms =
                 m_clock.at(now) + to_milliseconds(m_settings.m_lease);
@@ -891,10 +1035,15 @@
 {
     for (auto& [node, entry] : m_contacts)
     {
-        if (entry.m_new_ends.empty())
+        if (entry.m_new_ends.empty() && entry.m_found_ends.empty())
             continue;
-        auto news = runs_ended{++m_last_ends, std::move(entry.m_new_ends)};
-        entry.m_new_ends.clear();
+        auto news =
+            runs_ended{++m_last_ends, std::exchange(entry.m_new_ends, {}),
+                       std::exchange(entry.m_found_ends, {})};
+        for (auto const number : std::exchange(entry.m_new_numbers, {}))
+            if (auto const held = m_unrecorded.find(number);
+                held != m_unrecorded.end())
+                held->second = news.m_number;
         entry.m_unconfirmed.push_back(news);
         if (entry.m_is_connected && entry.m_is_announced)
             out.emplace_back(send{node, std::move(news)});
@@ -966,8 +1115,9 @@
 
 auto executor::accepts(time_point now) const -> acceptance
 {
-    if (m_is_stopping || !m_worker || !m_worker->m_is_accepting ||
-        !m_polls.is_reachable() || !m_is_surveyed || !m_strays.empty())
+    if (m_is_stopping || m_is_lapsing || !m_worker ||
+        !m_worker->m_is_accepting || !m_polls.is_reachable() ||
+        !m_is_surveyed || !m_strays.empty())
         return acceptance::none;
     if (!m_health.is_on_probation())
         return acceptance::full;
@@ -1038,7 +1188,7 @@
         if (m_worker && entry.m_is_connected && entry.m_is_announced)
             first = std::min(first, std::max(entry.m_loads.due_at(),
                                              m_load_sent_at + load_turn));
-    if (!m_polls.is_reachable() && !m_live.empty())
+    if (m_is_lapsing || (!m_polls.is_reachable() && !m_live.empty()))
         first = std::min(first, m_clock.certainly_reached(m_lease_until_ms));
     for (auto const& [key, run] : m_live)
     {
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -78,7 +78,7 @@
 
     struct live_run
     {
-        std::shared_ptr<ordered_job const> m_job;
+        std::shared_ptr<ordered_job> m_job;
         run_ref m_ref;
         resources m_needs;
         duration m_expected{0};
@@ -104,9 +104,12 @@
         time_point m_stop_again_at = never;
     };
 
-    /// What is known of one entry.
+    /// What is known of a process that orders runs: an entry, or the leader of
+    /// the control group.
     struct contact
     {
+        /// Term in which it leads; 0 for an entry.
+        term_number m_term = 0;
         bool m_is_connected = false;
         bool m_is_announced = false;
         /// Configuration that was sent on this link.
@@ -120,8 +123,13 @@
         std::deque<runs_ended> m_unconfirmed;
         /// Ends of this turn, not sent yet.
         std::vector<run_end> m_new_ends;
+        std::vector<found_end> m_found_ends;
+        /// Numbers of both in the worker's list, if they must be recorded.
+        std::vector<std::uint64_t> m_new_numbers;
     };
 
+    using contacts = std::map<node_id, contact>;
+
     using live_key = std::pair<std::string, task_index>;
     using live_runs = std::map<live_key, live_run>;
 
@@ -133,6 +141,22 @@
             effects& out) -> void;
     auto on(time_point now, node_id from, reserve_room const& wanted,
             effects& out) -> void;
+    auto on(node_id from, lead_jobs const& news, effects& out) -> void;
+    /// A link to a process that orders runs is open.
+    auto open_contact(node_id peer) -> contact&;
+    [[nodiscard]] auto leader() -> contacts::iterator;
+    /// Passes the runs of the leader before on to the present one.
+    auto hand_over(contacts::value_type const& old, node_id to,
+                   contact& present) -> void;
+    /// Tells the leader of ends that no order is known of.
+    auto tell_found_ends() -> void;
+    /// Lets the worker's lease run out once: ends that the leader may have
+    /// given up must not be acknowledged before.
+    auto begin_lapse(time_point now, effects& out) -> void;
+    /// Takes note that ends with these numbers are recorded.
+    auto release_ends(std::uint64_t confirmed) -> void;
+    /// Ends up to this one may be forgotten by the worker.
+    [[nodiscard]] auto acknowledgeable() const -> std::uint64_t;
 
     auto begin_lifetime(time_point now, worker_report const& report,
                         effects& out) -> void;
@@ -148,8 +172,9 @@
                        effects& out) -> void;
     auto order_stop(time_point now, live_runs::value_type& wanted, effects& out)
         -> void;
+    /// `number` is that of the worker's list; 0 if the end is not listed.
     auto finish(time_point now, live_runs::iterator ended, run_outcome outcome,
-                reason why, effects& out) -> void;
+                reason why, effects& out, std::uint64_t number = 0) -> void;
     /// Tells the entry that a run which waited was not started.
     auto refuse(time_point now, waiting_run const& refused, reason why,
                 effects& out) -> void;
@@ -214,7 +239,7 @@
     run_queue m_queue;
     room_offers m_offers;
     live_runs m_live;
-    std::map<node_id, contact> m_contacts;
+    contacts m_contacts;
     /// Number of the last `runs_ended`. One for all entries: an entry that was
     /// frozen knows numbers of a contact that is forgotten here.
     std::uint64_t m_last_ends = 0;
@@ -223,8 +248,15 @@
     /// Send time of the newest list that was taken into account. Answers on
     /// different connections may overtake each other.
     time_point m_listed_at{0};
-    std::uint64_t m_acknowledged = 0;
+    /// Last end that was taken into account.
+    std::uint64_t m_listed = 0;
     bool m_has_unacknowledged = false;
+    /// Ends that the leader must record first, by their number in the worker's
+    /// list, and the message that tells of each; 0 if it is not sent yet.
+    std::map<std::uint64_t, std::uint64_t> m_unrecorded;
+    /// Ends that no order is known of, until a leader is.
+    std::vector<std::pair<std::uint64_t, found_end>> m_found;
+    bool m_is_lapsing = false;
     /// Longest lease of any order, by the worker's clock.
     std::int64_t m_lease_until_ms = 0;
 
--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -20,6 +20,15 @@
 constexpr auto reservations_per_task = std::size_t{2};
 constexpr auto fewest_reservations = std::size_t{12};
 
+// Agents drop runs that can't end in time; one of a job without a deadline can
+// always.
+constexpr auto longest_time_left = duration{std::chrono::hours{24}};
+
+auto time_left_ms(time_point now, placed_job const& job) -> std::uint32_t
+{
+    return whole_ms(std::min(job.deadline() - now, longest_time_left));
+}
+
 } // namespace
 
 job_planner::job_planner(worker_directory& workers) : m_workers{workers}
@@ -90,7 +99,7 @@
         order.m_expected_ms = whole_ms(wanted.m_expected);
         order.m_count = tasks;
         order.m_share_permille = share;
-        order.m_time_left_ms = whole_ms(job.deadline() - now);
+        order.m_time_left_ms = time_left_ms(now, job);
         made.m_reservations.emplace_back(each.m_agent, order);
         m_workers.ordered(each.m_agent, order.m_order, order.m_needs,
                           wanted.m_expected * tasks * share / 1'000);
@@ -160,7 +169,7 @@
     order.m_job_id = job.job().m_id;
     order.m_body = job.job().m_body;
     order.m_rank = job.queue().m_rank;
-    order.m_time_left_ms = whole_ms(job.deadline() - now);
+    order.m_time_left_ms = time_left_ms(now, job);
 }
 
 auto job_planner::choose(time_point now, placed_job const& job,
--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -9,8 +9,16 @@
 placed_job::placed_job(std::uint64_t number, job_arrived const& request,
                        job_queue const& queue, time_point now,
                        time_point deadline)
-    : m_number{number}, m_exchange{request.m_exchange}, m_job{request.m_job},
-      m_queue{queue}, m_arrived{now}, m_deadline{deadline}
+    : placed_job{number, request.m_job, queue, now}
+{
+    m_exchange = request.m_exchange;
+    m_deadline = deadline;
+}
+
+placed_job::placed_job(std::uint64_t number, step_job job, job_queue queue,
+                       time_point now)
+    : m_number{number}, m_job{std::move(job)}, m_queue{std::move(queue)},
+      m_arrived{now}
 {
     for (auto step = std::uint32_t{0}; step < m_job.m_steps.size(); ++step)
     {
@@ -70,6 +78,20 @@
     task.m_order = order;
 }
 
+auto placed_job::doubt_runs() -> void
+{
+    for (auto& task : m_tasks)
+        if (task.m_state == task_state::ready)
+            task.m_state = task_state::in_doubt;
+}
+
+auto placed_job::settle_doubts() -> void
+{
+    for (auto& task : m_tasks)
+        if (task.m_state == task_state::in_doubt)
+            task.m_state = task_state::ready;
+}
+
 auto placed_job::note_started() -> void
 {
     m_may_have_started = true;
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -22,11 +22,12 @@
 {
     blocked, ///< A step that it depends on has not ended.
     ready,
+    in_doubt, ///< May have a run at an agent that was not heard yet.
     placed,
     succeeded
 };
 
-/// One task of a job at its entry.
+/// One task of a job at the process that places it.
 struct placed_task
 {
     task_index m_index;
@@ -43,12 +44,15 @@
     std::vector<node_id> m_avoided;
 };
 
-/// Progress of one step job at the entry that took it.
+/// Progress of one step job at the process that places it.
 class placed_job
 {
 public:
     placed_job(std::uint64_t number, job_arrived const& request,
                job_queue const& queue, time_point now, time_point deadline);
+    /// A job that nobody waits for with an open exchange.
+    placed_job(std::uint64_t number, step_job job, job_queue queue,
+               time_point now);
 
     /// Makes tasks ready whose steps may start.
     auto unblock() -> void;
@@ -58,6 +62,10 @@
     /// The present run ended without success; the task may be placed again.
     auto came_back(placed_task& task) -> void;
     auto ordered(placed_task& task, node_id agent, std::uint64_t order) -> void;
+    /// Tasks that could be placed may have runs that an earlier leader ordered.
+    auto doubt_runs() -> void;
+    /// No agent has a run of the tasks that are still in doubt.
+    auto settle_doubts() -> void;
     /// Some run may have started.
     auto note_started() -> void;
     /// The job waits for room, this long as far as could be told.
@@ -100,11 +108,11 @@
     [[nodiscard]] auto is_step_done(std::uint32_t step) const -> bool;
 
     std::uint64_t m_number;
-    exchange_id m_exchange;
+    exchange_id m_exchange = 0;
     step_job m_job;
     job_queue m_queue;
     time_point m_arrived;
-    time_point m_deadline;
+    time_point m_deadline = never;
     std::vector<placed_task> m_tasks;
     /// Tasks of each step that have not succeeded.
     std::vector<std::uint32_t> m_open;
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -65,7 +65,8 @@
     {
         if (!is_unconfirmed(from, ends->m_number))
             return true;
-        take_ends(now, from, ends->m_ends, random, out);
+        for (auto const& end : ends->m_ends)
+            take_end(now, from, end, random, out);
         confirm(from, ends->m_number);
     }
     else if (auto const* news = std::get_if<worker_announcement>(&incoming))
@@ -93,6 +94,7 @@
     {
         lose_runs(now, agent, random, out);
         m_agents.erase(agent);
+        m_gone.push_back(agent);
     }
     if (now < m_retry_at)
         return;
@@ -116,14 +118,6 @@
         found->second.m_ends = std::max(found->second.m_ends, number);
 }
 
-auto run_placer::take_ends(time_point now, node_id agent,
-                           std::span<run_end const> ends, random_source& random,
-                           effects& out) -> void
-{
-    for (auto const& end : ends)
-        take_end(now, agent, end, random, out);
-}
-
 auto run_placer::add(placed_job job) -> void
 {
     auto const number = job.number();
@@ -184,6 +178,11 @@
     return std::exchange(m_outcomes, {});
 }
 
+auto run_placer::take_gone() -> std::vector<node_id>
+{
+    return std::exchange(m_gone, {});
+}
+
 auto run_placer::find(std::uint64_t job) -> placed_job*
 {
     auto const found = m_jobs.find(job);
@@ -230,6 +229,14 @@
     if (found == m_agents.end())
         return;
     found->second.m_worker = news.m_worker.m_name;
+    for (auto const& run : news.m_runs)
+    {
+        auto const job = m_jobs.find(run.m_job);
+        auto* const task =
+            job == m_jobs.end() ? nullptr : job->second.find(run.m_task);
+        if (task != nullptr && task->m_state == task_state::in_doubt)
+            adopt(job->second, *task, from, run.m_run);
+    }
     // Orders that were lost with an earlier link are not listed.
     auto const jobs = found->second.m_jobs;
     for (auto const number : jobs)
@@ -317,27 +324,25 @@
 }
 
 auto run_placer::take_end(time_point now, node_id agent, run_end const& end,
-                          random_source& random, effects& out) -> void
+                          random_source& random, effects& out) -> bool
 {
     auto const job = m_jobs.find(end.m_run.m_job);
     if (job == m_jobs.end() || m_ended.contains(job->first))
-        return;
+        return false;
     auto* const task = job->second.find(end.m_run.m_task);
+    if (task != nullptr && task->m_state == task_state::in_doubt)
+        adopt(job->second, *task, agent, end.m_run.m_run);
     if (task == nullptr || task->m_state != task_state::placed ||
         task->m_run != end.m_run.m_run || task->m_agent != agent)
-        return;
+        return false;
     if (end.m_outcome != run_outcome::refused)
         job->second.note_started();
     if (end.m_outcome == run_outcome::succeeded)
     {
         m_planner.observe(job->second, *task,
                           std::chrono::milliseconds{end.m_run_ms});
-        job->second.succeeded(*task);
-        if (job->second.is_complete())
-            conclude(job->second, true);
-        else
-            carry_on(now, job->first, random, out);
-        return;
+        succeed(now, job->second, *task, random, out);
+        return true;
     }
     if (end.m_reason == reason::queue_full)
     {
@@ -359,12 +364,65 @@
     if (has_failed || end.m_reason == reason::call_failed)
         task->m_avoided.push_back(agent);
     // Runs that were stopped without progress do not count.
-    if (has_failed && ++task->m_failures >= job->second.queue().m_run_limit)
-    {
-        conclude(job->second, false);
+    if (!has_failed || count_failure(job->second, *task))
+        carry_on(now, job->first, random, out);
+    return true;
+}
+
+auto run_placer::adopt(placed_job& job, placed_task& task, node_id agent,
+                       std::uint32_t run) -> void
+{
+    task.m_run = run;
+    // Orders count per link, and this one came on an earlier one.
+    job.ordered(task, agent, 0);
+    m_agents[agent].m_jobs.insert(job.number());
+}
+
+auto run_placer::succeed(time_point now, placed_job& job, placed_task& task,
+                         random_source& random, effects& out) -> void
+{
+    job.succeeded(task);
+    if (job.is_complete())
+        conclude(job, true);
+    else
+        carry_on(now, job.number(), random, out);
+}
+
+auto run_placer::count_failure(placed_job& job, placed_task& task) -> bool
+{
+    if (++task.m_failures < job.queue().m_run_limit)
+        return true;
+    conclude(job, false);
+    return false;
+}
+
+auto run_placer::settle_task(time_point now, task_end const& end,
+                             random_source& random, effects& out) -> void
+{
+    auto const job = m_jobs.find(end.m_job);
+    if (job == m_jobs.end() || m_ended.contains(end.m_job))
+        return;
+    auto* const task = job->second.find(end.m_task);
+    if (task == nullptr || task->m_state == task_state::succeeded)
         return;
+    if (end.m_has_succeeded && task->m_state == task_state::placed)
+        out.emplace_back(
+            send{task->m_agent, withdraw_runs{{job->second.ref(*task)}}});
+    if (end.m_has_succeeded)
+        succeed(now, job->second, *task, random, out);
+    else if (count_failure(job->second, *task))
+        carry_on(now, end.m_job, random, out);
+}
+
+auto run_placer::settle_doubts(time_point now, random_source& random,
+                               effects& out) -> void
+{
+    for (auto& [number, job] : m_jobs)
+    {
+        job.settle_doubts();
+        if (job.has_ready_tasks())
+            carry_on(now, number, random, out);
     }
-    carry_on(now, job->first, random, out);
 }
 
 auto run_placer::send_order(placed_job& job, node_id agent, order_runs&& order,
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -4,6 +4,7 @@
 #include "core/model/configuration.hpp"
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
+#include "core/placement/contact_timeouts.hpp"
 #include "core/placement/job_planner.hpp"
 #include "core/placement/placed_job.hpp"
 #include "core/placement/worker_directory.hpp"
@@ -11,7 +12,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +26,7 @@
     /// Longest lease that a worker grants.
     duration m_lease = std::chrono::milliseconds{1000};
     /// An agent that has heard nothing for this long stops this process's runs.
-    duration m_contact_timeout = std::chrono::milliseconds{500};
+    duration m_contact_timeout = entry_contact_timeout;
     /// Loads of workers that this process has the processor time to hear, per
     /// second.
     std::uint32_t m_loads_per_s = 3'000;
@@ -67,9 +67,17 @@
         -> bool;
     /// The agent need not send ends up to this number again.
     auto confirm(node_id agent, std::uint64_t number) -> void;
-    /// Acts on ends of runs.
-    auto take_ends(time_point now, node_id agent, std::span<run_end const> ends,
-                   random_source& random, effects& out) -> void;
+    /// Acts on the end of a run. False if the run is not the present one of its
+    /// task.
+    auto take_end(time_point now, node_id agent, run_end const& end,
+                  random_source& random, effects& out) -> bool;
+
+    /// A run that this process knows no order of has ended.
+    auto settle_task(time_point now, task_end const& end, random_source& random,
+                     effects& out) -> void;
+    /// No agent has a run of the tasks that are still in doubt: places them.
+    auto settle_doubts(time_point now, random_source& random, effects& out)
+        -> void;
 
     /// Adds a job under its number, without placing it yet.
     auto add(placed_job job) -> void;
@@ -88,6 +96,9 @@
     /// are removed, and nothing more of them is placed.
     [[nodiscard]] auto take_outcomes() -> std::vector<placed_outcome>;
 
+    /// Agents whose runs have certainly ended since the last call.
+    [[nodiscard]] auto take_gone() -> std::vector<node_id>;
+
     /// Null if there is no such job.
     [[nodiscard]] auto find(std::uint64_t job) -> placed_job*;
     [[nodiscard]] auto jobs() const -> live_jobs const&;
@@ -121,8 +132,13 @@
             configuration_version version, effects& out) -> void;
     auto on(time_point now, node_id from, offer_room const& offered,
             effects& out) -> void;
-    auto take_end(time_point now, node_id agent, run_end const& end,
-                  random_source& random, effects& out) -> void;
+    /// The agent holds a run of a task that was in doubt.
+    auto adopt(placed_job& job, placed_task& task, node_id agent,
+               std::uint32_t run) -> void;
+    auto succeed(time_point now, placed_job& job, placed_task& task,
+                 random_source& random, effects& out) -> void;
+    /// The task's run has failed; false if its job has failed with it.
+    auto count_failure(placed_job& job, placed_task& task) -> bool;
     /// Least time between two loads of one agent.
     [[nodiscard]] auto load_interval() const -> duration;
     auto send_order(placed_job& job, node_id agent, order_runs&& order,
@@ -145,6 +161,7 @@
     worker_directory m_workers;
     job_planner m_planner{m_workers};
     std::map<node_id, agent_contact> m_agents;
+    std::vector<node_id> m_gone;
     live_jobs m_jobs;
     std::vector<placed_outcome> m_outcomes;
     /// Jobs of these outcomes that are not removed yet.
--- a/src/core/placement/run_queue.hpp
+++ b/src/core/placement/run_queue.hpp
@@ -18,6 +18,8 @@
 /// What the runs of one order share.
 struct ordered_job
 {
+    /// The process whose runs these are. Runs of durable jobs pass from one
+    /// leader of the control group to the next.
     node_id m_entry = no_node;
     std::string m_id;
     std::string m_body;
@@ -30,7 +32,7 @@
 /// that their entry has not chosen yet.
 struct waiting_run
 {
-    std::shared_ptr<ordered_job const> m_job;
+    std::shared_ptr<ordered_job> m_job;
     run_ref m_ref;
     resources m_needs;
     duration m_expected{0};
--- a/src/core/placement/worker_polls.cpp
+++ b/src/core/placement/worker_polls.cpp
@@ -14,6 +14,8 @@
 // Delay before a worker that did not answer is asked again; doubles each time.
 constexpr auto retry_minimum = duration{std::chrono::milliseconds{50}};
 constexpr auto retry_maximum = duration{std::chrono::milliseconds{500}};
+// A record of ends takes a round trip and a sync.
+constexpr auto held_pause = duration{std::chrono::milliseconds{10}};
 // One lost answer says nothing of the worker.
 constexpr auto failures_to_unreachable = 2U;
 
@@ -34,6 +36,11 @@
     m_is_list_wanted = true;
 }
 
+auto worker_polls::hold_ends(bool are_held) -> void
+{
+    m_holds_ends = are_held;
+}
+
 auto worker_polls::next(time_point now, bool has_runs, bool has_news)
     -> std::optional<due_poll>
 {
@@ -48,20 +55,27 @@
         m_is_list_wanted = false;
         return send(now, {});
     }
+    m_wait_due_at = never;
     if (has_runs && !has_outstanding(false))
-        return send(now, poll_wait);
+    {
+        if (!m_holds_ends || now >= m_answered_at + held_pause)
+            return send(now, poll_wait);
+        m_wait_due_at = m_answered_at + held_pause;
+    }
     if (!has_runs && has_news && m_outstanding.empty())
         return send(now, {});
     return std::nullopt;
 }
 
-auto worker_polls::answered(std::uint64_t number) -> std::optional<time_point>
+auto worker_polls::answered(time_point now, std::uint64_t number)
+    -> std::optional<time_point>
 {
     auto const found = m_outstanding.find(number);
     if (found == m_outstanding.end())
         return std::nullopt;
     auto const sent_at = found->second.m_sent_at;
     m_outstanding.erase(found);
+    m_answered_at = now;
     m_is_reachable = true;
     m_failures = 0;
     m_retry_at = never;
@@ -94,7 +108,9 @@
 
 auto worker_polls::next_deadline() const -> time_point
 {
-    return !m_is_reachable && m_outstanding.empty() ? m_retry_at : never;
+    if (!m_is_reachable)
+        return m_outstanding.empty() ? m_retry_at : never;
+    return m_wait_due_at;
 }
 
 auto worker_polls::has_outstanding(bool is_probe) const -> bool
--- a/src/core/placement/worker_polls.hpp
+++ b/src/core/placement/worker_polls.hpp
@@ -29,11 +29,15 @@
     auto reset() -> void;
     /// Asks for a list that is made later than now.
     auto want_list() -> void;
+    /// Ends are listed that can't be acknowledged yet: the worker answers at
+    /// once, so polls that wait must not follow each other closely.
+    auto hold_ends(bool are_held) -> void;
     /// The next poll to send, if one is due. To be called until there is none.
     auto next(time_point now, bool has_runs, bool has_news)
         -> std::optional<due_poll>;
     /// Returns when the poll was sent; none if it is not outstanding.
-    auto answered(std::uint64_t number) -> std::optional<time_point>;
+    auto answered(time_point now, std::uint64_t number)
+        -> std::optional<time_point>;
     /// The poll got no usable answer. False if it is not outstanding.
     auto failed(time_point now, std::uint64_t number) -> bool;
     /// Takes the worker for unreachable until a poll is answered.
@@ -56,6 +60,10 @@
     std::map<std::uint64_t, outstanding> m_outstanding;
     bool m_is_reachable = true;
     bool m_is_list_wanted = false;
+    bool m_holds_ends = false;
+    /// A poll that waits is due then; `never` unless ends are held.
+    time_point m_wait_due_at = never;
+    time_point m_answered_at{0};
     unsigned m_failures = 0;
     time_point m_retry_at = never;
     duration m_retry_delay{0};
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -50,6 +50,8 @@
         m_entries[peer.m_address] = never;
     if (m_coordinator)
         m_coordinator->connected(peer.m_node);
+    if (m_job_runner && peer.m_role == role::agent)
+        m_job_runner->connected(peer.m_node, out);
     auto const with = context(now, random, out);
     if (peer.m_follows_any_replica)
         greet_follower(with, peer.m_node);
@@ -74,6 +76,8 @@
     auto const with = context(now, random, out);
     if (m_coordinator)
         m_coordinator->disconnected(with, peer);
+    if (m_job_runner)
+        m_job_runner->disconnected(now, peer);
     settle(with);
 }
 
@@ -81,8 +85,9 @@
                       random_source& random, effects& out) -> void
 {
     auto const with = context(now, random, out);
-    auto const is_taken =
-        from_entry(with, from, incoming) || from_agent(with, from, incoming);
+    auto const is_taken = from_entry(with, from, incoming) ||
+                          from_agent(with, from, incoming) ||
+                          from_placement(with, from, incoming);
     if (auto const* done = std::get_if<operate_result>(&incoming))
     {
         if (auto const settled = m_pending.answered(*done))
@@ -114,6 +119,17 @@
     return true;
 }
 
+auto control::from_placement(control_context const& with, node_id from,
+                             message const& incoming) -> bool
+{
+    // Without a quorum another replica may lead already, and runs that are
+    // confirmed here would run on beside its own.
+    return m_job_runner && is_leading(with.m_now) &&
+           m_job_runner->receive(with.m_now, from, incoming,
+                                 m_state.config().m_version, with.m_random,
+                                 with.m_out);
+}
+
 auto control::from_entry(control_context const& with, node_id from,
                          message const& incoming) -> bool
 {
@@ -314,7 +330,11 @@
     if (m_replica.next_deadline() <= now)
         m_replica.tick(now, out);
     if (is_leading(now))
+    {
         m_coordinator->tick(with);
+        if (m_job_runner && m_job_runner->next_deadline() <= now)
+            m_job_runner->tick(now, random, out);
+    }
     settle(with);
 }
 
@@ -333,6 +353,9 @@
         m_coordinator->dispatch(with);
     keep_members(with);
     settle_operations(with);
+    if (m_job_runner && is_leading(with.m_now))
+        for (auto& wanted : m_job_runner->take_proposals())
+            m_replica.propose(std::move(wanted));
     m_replica.flush(with.m_now, with.m_out);
     compact(with);
     spread_processes(with);
@@ -397,8 +420,10 @@
 
 auto control::settle_operations(control_context const& with) -> void
 {
-    for (auto& settled : m_pending.advance(with.m_now, m_replica, m_state,
-                                           is_leading(with.m_now), with.m_out))
+    auto const* runner = is_leading(with.m_now) ? m_job_runner.get() : nullptr;
+    for (auto& settled :
+         m_pending.advance(with.m_now, m_replica, m_state,
+                           is_leading(with.m_now), runner, with.m_out))
         answer_operator(with.m_out, settled.m_who, std::move(settled.m_result));
 }
 
@@ -444,6 +469,8 @@
         m_applied_term = entry.m_term;
     if (m_coordinator)
         m_coordinator->committed(with, entry);
+    if (m_job_runner)
+        m_job_runner->applied(with.m_now, entry, with.m_random, with.m_out);
     auto const* change = std::get_if<change_configuration>(&entry.m_command);
     auto const* members = std::get_if<change_membership>(&entry.m_command);
     auto const is_installation =
@@ -490,6 +517,7 @@
             with.m_out.emplace_back(
                 log_line{log_level::warning, "leadership_lost", {}});
         m_coordinator.reset();
+        m_job_runner.reset();
         // Their entries ask the next leader; the outcome of a change that was
         // not committed is not known here.
         m_operators.clear();
@@ -504,6 +532,13 @@
                  "leadership_taken",
                  {{"term", std::to_string(m_replica.term())}}});
     broadcast(with);
+    if (!m_has_group_settings)
+        return;
+    m_job_runner = std::make_unique<job_runner>(m_job_settings, m_state.jobs(),
+                                                with.m_now, m_replica.term());
+    for (auto const& [node, peer] : m_peers)
+        if (peer.m_role == role::agent)
+            m_job_runner->connected(node, with.m_out);
 }
 
 auto control::compact(control_context const& with) -> void
@@ -546,8 +581,11 @@
     auto const log =
         std::min({m_replica.next_deadline(), m_pending.next_deadline(),
                   m_keeper.next_deadline(now)});
-    return m_coordinator ? std::min(log, m_coordinator->next_deadline(now))
-                         : log;
+    if (!m_coordinator)
+        return log;
+    auto const jobs =
+        m_job_runner ? m_job_runner->next_deadline() : time_point{never};
+    return std::min({log, jobs, m_coordinator->next_deadline(now)});
 }
 
 auto control::state() const -> control_state const&
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_CORE_ROLES_CONTROL_HPP
 #define HICKORYLATCH_CORE_ROLES_CONTROL_HPP
 
+#include "core/jobs/job_runner.hpp"
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
 #include "core/placement/link_targets.hpp"
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -81,6 +83,9 @@
                     message const& incoming) -> bool;
     auto operate(control_context const& with, operator_wait who,
                  operation const& asked) -> void;
+    /// False if the message is not one about runs of durable jobs.
+    auto from_placement(control_context const& with, node_id from,
+                        message const& incoming) -> bool;
     auto propose_change(control_context const& with, operator_wait who,
                         std::string const& request_id, command change) -> void;
     auto found(control_context const& with, operator_wait who,
@@ -108,6 +113,9 @@
     image_codec m_codec;
     std::string m_address;
     std::optional<coordinator> m_coordinator;
+    /// While it leads a group that founds and repairs itself.
+    std::unique_ptr<job_runner> m_job_runner;
+    job_runner_settings m_job_settings;
     /// Term whose first entry is applied; the leader of it knows everything.
     term_number m_applied_term = 0;
     log_index m_applied = 0;
--- a/src/core/roles/control_state.cpp
+++ b/src/core/roles/control_state.cpp
@@ -1,6 +1,7 @@
 #include "core/roles/control_state.hpp"
 
 #include <algorithm>
+#include <type_traits>
 #include <variant>
 
 namespace hickorylatch::core
@@ -15,7 +16,8 @@
 } // namespace
 
 control_state::control_state(control_image image)
-    : m_configuration{std::move(image.m_configuration)}
+    : m_configuration{std::move(image.m_configuration)}, m_jobs{std::move(
+                                                             image.m_jobs)}
 {
     std::ranges::stable_sort(image.m_submissions, {},
                              &submission_record::m_ended_at);
@@ -29,6 +31,8 @@
 
 auto control_state::apply(log_entry const& entry) -> void
 {
+    if (auto const* accepted = std::get_if<accept_job>(&entry.m_command))
+        return m_jobs.apply(entry.m_index, *accepted);
     std::visit(
         [this](auto const& command)
         {
@@ -37,10 +41,18 @@
         entry.m_command);
 }
 
+template <typename Command>
+auto control_state::on(Command const& command) -> void
+{
+    if constexpr (!std::is_same_v<Command, accept_job>)
+        m_jobs.apply(command);
+}
+
 auto control_state::image() const -> control_image
 {
     auto result = control_image{};
     result.m_configuration = m_configuration;
+    result.m_jobs = m_jobs.image();
     for (auto const& [origin, record] : m_submissions)
         result.m_submissions.push_back(record);
     for (auto const& request_id : m_outcome_order)
@@ -50,6 +62,11 @@
     return result;
 }
 
+auto control_state::jobs() const -> job_store const&
+{
+    return m_jobs;
+}
+
 auto control_state::config() const -> configuration const&
 {
     return m_configuration;
--- a/src/core/roles/control_state.hpp
+++ b/src/core/roles/control_state.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_CORE_ROLES_CONTROL_STATE_HPP
 #define HICKORYLATCH_CORE_ROLES_CONTROL_STATE_HPP
 
+#include "core/jobs/job_store.hpp"
 #include "core/model/command.hpp"
 
 #include <cstdint>
@@ -56,9 +57,11 @@
     std::vector<submission_record> m_submissions;
     std::vector<operator_outcome> m_outcomes;
     std::vector<forgotten_until> m_forgotten;
+    job_store_image m_jobs;
 };
 BOOST_DESCRIBE_STRUCT(control_image, (),
-                      (m_configuration, m_submissions, m_outcomes, m_forgotten))
+                      (m_configuration, m_submissions, m_outcomes, m_forgotten,
+                       m_jobs))
 
 /// What the committed commands add up to. The same on every replica.
 class control_state
@@ -85,6 +88,7 @@
         -> bool;
     [[nodiscard]] auto submissions() const
         -> std::map<origin_id, submission_record> const&;
+    [[nodiscard]] auto jobs() const -> job_store const&;
     /// End time of the submission that ended first; 0 if none did.
     [[nodiscard]] auto oldest_end() const -> unix_milliseconds;
 
@@ -97,11 +101,15 @@
     auto on(expire_keys const& limit) -> void;
     auto on(change_membership const& change) -> void;
     auto on(install_configuration const& installed) -> void;
+    /// Commands that durable jobs alone are concerned with.
+    template <typename Command>
+    auto on(Command const& command) -> void;
 
     auto remember(operator_outcome outcome) -> void;
     auto insert(submission_record record) -> void;
 
     configuration m_configuration;
+    job_store m_jobs;
     std::map<origin_id, submission_record> m_submissions;
     std::map<std::pair<std::string, std::string>, origin_id> m_keys;
     std::deque<std::pair<unix_milliseconds, origin_id>> m_ended;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -52,7 +52,7 @@
         if (m_node.m_agent)
             m_node.m_agent->connected(event.m_peer);
         if (m_node.m_broker)
-            m_node.m_broker->connected(event.m_peer);
+            m_node.m_broker->connected(event.m_peer, m_out);
         if (m_node.m_executor)
             m_node.m_executor->connected(m_now, event.m_peer, m_out);
         if (m_node.m_control)
@@ -67,7 +67,7 @@
         if (m_node.m_agent)
             m_node.m_agent->disconnected(event.m_peer);
         if (m_node.m_broker)
-            m_node.m_broker->disconnected(m_now, event.m_peer);
+            m_node.m_broker->disconnected(m_now, event.m_peer, m_out);
         if (m_node.m_executor)
             m_node.m_executor->disconnected(m_now, event.m_peer, m_out);
         if (m_node.m_control)
@@ -164,7 +164,7 @@
     auto operator()(job_asked const& event) -> void
     {
         if (m_node.m_broker)
-            m_node.m_broker->asked(event, m_out);
+            m_node.m_broker->asked(m_now, event, m_out);
     }
 
     auto operator()(worker_reported const& event) -> void
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -12,14 +12,23 @@
 
 // Operators turn to another replica after a second without an answer.
 constexpr auto answer_limit = duration{std::chrono::milliseconds{900}};
-constexpr auto most_pending = std::size_t{64};
+// Entries pass on some hundred jobs a second, which wait for a sync, or for the
+// next leader.
+constexpr auto most_pending = std::size_t{1'024};
+// A job is a few kilobytes, and replicas have some hundred megabytes.
+constexpr auto most_open_jobs = std::size_t{10'000};
+constexpr auto open_jobs_retry_ms = std::uint32_t{1'000};
 
 } // namespace
 
 auto pending_operations::takes(operation const& asked) -> bool
 {
     return std::holds_alternative<install_configuration>(asked) ||
-           std::holds_alternative<read_configuration>(asked);
+           std::holds_alternative<read_configuration>(asked) ||
+           std::holds_alternative<post_job>(asked) ||
+           std::holds_alternative<find_job>(asked) ||
+           std::holds_alternative<cancel_durable_job>(asked) ||
+           std::holds_alternative<count_waiting_jobs>(asked);
 }
 
 auto pending_operations::add(time_point now, operator_wait who, operation asked)
@@ -43,7 +52,7 @@
         std::ranges::find(m_pending, result.m_sequence, &pending::m_number);
     if (found == m_pending.end())
         return std::nullopt;
-    if (result.m_verdict.m_run != run_state::ran)
+    if (result.m_verdict.m_reason == reason::no_leader)
     {
         found->m_passed_to = no_node;
         return std::nullopt;
@@ -62,14 +71,15 @@
 
 auto pending_operations::advance(time_point now, replica& log,
                                  control_state const& state, bool is_leading,
-                                 effects& out) -> std::vector<settled_operation>
+                                 job_runner const* runner, effects& out)
+    -> std::vector<settled_operation>
 {
     auto settled = std::vector<settled_operation>{};
     auto const settle = [&](pending& waiting) -> bool
     {
         auto result = std::optional<operate_result>{};
         if (is_leading)
-            result = lead(now, waiting, log, state);
+            result = lead(now, waiting, log, state, runner);
         if (!result && now >= waiting.m_deadline)
         {
             result = operate_result{};
@@ -94,30 +104,80 @@
     return settled;
 }
 
+auto pending_operations::propose(pending& waiting, replica& log, command wanted)
+    -> void
+{
+    if (std::exchange(waiting.m_proposed_term, log.term()) != log.term())
+        log.propose(std::move(wanted));
+}
+
+auto pending_operations::is_confirmed(time_point now, pending& waiting,
+                                      replica const& log) -> bool
+{
+    if (std::exchange(waiting.m_read_term, log.term()) != log.term())
+        waiting.m_read_at = now;
+    // An answer of a quorum to a later heartbeat shows that there was no other
+    // leader when the question came. Time alone does not: this process may have
+    // been suspended, which its clock does not show.
+    return log.quorum_heard_at() >= waiting.m_read_at;
+}
+
 auto pending_operations::lead(time_point now, pending& waiting, replica& log,
-                              control_state const& state)
+                              control_state const& state,
+                              job_runner const* runner)
     -> std::optional<operate_result>
 {
     auto result = operate_result{};
     result.m_verdict.m_run = run_state::ran;
     result.m_version = state.config().m_version;
-    if (auto const* wanted =
-            std::get_if<install_configuration>(&waiting.m_operation))
+    auto const& asked = waiting.m_operation;
+    if (auto const* wanted = std::get_if<install_configuration>(&asked))
     {
         if (wanted->m_configuration.m_version <= state.config().m_version)
             return result;
-        if (std::exchange(waiting.m_proposed_term, log.term()) != log.term())
-            log.propose(*wanted);
+        propose(waiting, log, *wanted);
         return std::nullopt;
     }
-    if (std::exchange(waiting.m_read_term, log.term()) != log.term())
-        waiting.m_read_at = now;
-    // An answer of a quorum to a later heartbeat shows that there was no other
-    // leader when the question came. Time alone does not: this process may have
-    // been suspended, which its clock does not show.
-    if (log.quorum_heard_at() < waiting.m_read_at)
+    if (auto const* posted = std::get_if<post_job>(&asked))
+    {
+        if (state.jobs().find(posted->m_job.m_id) != nullptr)
+            return result;
+        if (waiting.m_proposed_term == 0 &&
+            state.jobs().open_jobs() >= most_open_jobs)
+        {
+            result.m_verdict =
+                refused(reason::queue_full, {}, open_jobs_retry_ms);
+            return result;
+        }
+        propose(waiting, log, accept_job{posted->m_job, posted->m_queue});
+        return std::nullopt;
+    }
+    if (!is_confirmed(now, waiting, log))
         return std::nullopt;
-    result.m_document = state.config().m_document;
+    if (auto const* counted = std::get_if<count_waiting_jobs>(&asked))
+    {
+        result.m_count =
+            runner == nullptr ? 0 : runner->waiting_jobs(counted->m_queue);
+        return result;
+    }
+    auto const* cancelled = std::get_if<cancel_durable_job>(&asked);
+    auto const* found = std::get_if<find_job>(&asked);
+    if (cancelled == nullptr && found == nullptr)
+    {
+        result.m_document = state.config().m_document;
+        return result;
+    }
+    auto const* job =
+        state.jobs().find(cancelled != nullptr ? cancelled->m_id : found->m_id);
+    if (job == nullptr)
+        result.m_verdict = refused(reason::key_forgotten, "no such job");
+    else if (cancelled != nullptr && !job->has_ended())
+    {
+        propose(waiting, log, drop_job{job->m_number});
+        return std::nullopt;
+    }
+    else
+        result.m_job_state = job->m_state;
     return result;
 }
 
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_CORE_ROLES_PENDING_OPERATIONS_HPP
 #define HICKORYLATCH_CORE_ROLES_PENDING_OPERATIONS_HPP
 
+#include "core/jobs/job_runner.hpp"
 #include "core/model/effect.hpp"
 #include "core/replication/replica.hpp"
 #include "core/roles/control_state.hpp"
@@ -27,9 +28,9 @@
     operate_result m_result;
 };
 
-/// Installations and reads of the configuration that any replica takes. It
-/// settles them while it leads, and else passes them on to the leader as soon
-/// as it knows one.
+/// Operations that any replica takes: installations and reads of the
+/// configuration, and what entries ask of durable jobs. It settles them while
+/// it leads, and else passes them on to the leader as soon as it knows one.
 class pending_operations
 {
 public:
@@ -44,10 +45,12 @@
     /// A link to this peer is new or gone; messages on it may be lost.
     auto link_changed(node_id peer) -> void;
     /// Proposes, passes on and answers what can be. `is_leading` tells that
-    /// this replica leads with a quorum and has applied its term's first entry.
+    /// this replica leads with a quorum and has applied its term's first entry;
+    /// `runner` is null if it does not.
     [[nodiscard]] auto advance(time_point now, replica& log,
                                control_state const& state, bool is_leading,
-                               effects& out) -> std::vector<settled_operation>;
+                               job_runner const* runner, effects& out)
+        -> std::vector<settled_operation>;
 
     [[nodiscard]] auto next_deadline() const -> time_point;
     [[nodiscard]] auto size() const -> std::size_t;
@@ -69,7 +72,14 @@
     };
 
     auto lead(time_point now, pending& waiting, replica& log,
-              control_state const& state) -> std::optional<operate_result>;
+              control_state const& state, job_runner const* runner)
+        -> std::optional<operate_result>;
+    /// Proposes the command once in each term.
+    auto propose(pending& waiting, replica& log, command wanted) -> void;
+    /// True once a quorum has confirmed that this replica led when the question
+    /// came.
+    auto is_confirmed(time_point now, pending& waiting, replica const& log)
+        -> bool;
 
     std::uint64_t m_last_number = 0;
     std::vector<pending> m_pending;
--- a/src/platform/clients_api.cpp
+++ b/src/platform/clients_api.cpp
@@ -170,9 +170,9 @@
 auto clients_api::ask(net::http_request const& request,
                       core::job_question question, std::string_view id) -> void
 {
-    m_process.feed(core::job_asked{request.m_exchange, question,
-                                   read_host(request.m_headers), request.m_path,
-                                   std::string{id}});
+    m_process.feed(core::job_asked{
+        request.m_exchange, question, read_host(request.m_headers),
+        request.m_path, std::string{id}, read_wait(request.m_headers)});
 }
 
 auto clients_api::answer(core::answer_job const& done) -> void
--- a/src/storage/inspect.cpp
+++ b/src/storage/inspect.cpp
@@ -15,15 +15,11 @@
 {
 
 /// In the order of the alternatives of `core::command`.
-constexpr auto command_names =
-    std::array{std::string_view{"begin_term"},
-               std::string_view{"accept_submission"},
-               std::string_view{"reallot"},
-               std::string_view{"end_submission"},
-               std::string_view{"change_configuration"},
-               std::string_view{"expire_keys"},
-               std::string_view{"change_membership"},
-               std::string_view{"install_configuration"}};
+constexpr auto command_names = std::to_array<std::string_view>(
+    {"begin_term", "accept_submission", "reallot", "end_submission",
+     "change_configuration", "expire_keys", "change_membership",
+     "install_configuration", "accept_job", "record_ends", "drop_job",
+     "forget_jobs", "change_agents"});
 static_assert(command_names.size() == std::variant_size_v<core::command>);
 
 auto print_command(std::ostream& out, core::command const& value) -> void
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -247,7 +247,11 @@
     auto to_entry = core::hello{};
     to_entry.m_node = state.m_node;
     to_entry.m_role = core::role::agent;
-    m_entries.at(entry).m_broker->connected(to_entry);
+    entry_feed(entry_node,
+               [&](core::broker& broker, core::effects& out)
+               {
+                   broker.connected(to_entry, out);
+               });
     agent_feed(state,
                [&](core::executor& executor, core::effects& out)
                {
@@ -265,8 +269,11 @@
         return;
     link.m_is_up = false;
     ++link.m_epoch;
-    if (m_entries.at(entry).m_broker)
-        m_entries.at(entry).m_broker->disconnected(m_now, state.m_node);
+    entry_feed(entry_node,
+               [&](core::broker& broker, core::effects& out)
+               {
+                   broker.disconnected(m_now, state.m_node, out);
+               });
     agent_feed(state,
                [&](core::executor& executor, core::effects& out)
                {
--- a/tests/core/placement/test_broker.cpp
+++ b/tests/core/placement/test_broker.cpp
@@ -55,7 +55,7 @@
         auto peer = core::hello{};
         peer.m_node = agent;
         peer.m_role = core::role::agent;
-        m_broker.connected(peer);
+        m_broker.connected(peer, m_out);
         auto news = core::worker_announcement{};
         news.m_worker.m_name =
             "w" + std::to_string(static_cast<std::uint64_t>(agent));
@@ -187,7 +187,7 @@
     entry.add_agent(first_agent, 1);
     entry.post_job(1);
     BOOST_REQUIRE(sent<core::order_runs>(entry.m_out, first_agent) != nullptr);
-    entry.m_broker.disconnected(entry.m_now, first_agent);
+    entry.m_broker.disconnected(entry.m_now, first_agent, entry.m_out);
     entry.m_out.clear();
     entry.pass_time(milliseconds{3'000});
     auto const found = std::ranges::find_if(
