--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -159,8 +159,11 @@
 struct find_job
 {
     std::string m_id;
+    /// If the job has not ended, the answer may wait for its end for so long,
+    /// in milliseconds.
+    std::uint32_t m_wait_ms = 0;
 };
-BOOST_DESCRIBE_STRUCT(find_job, (), (m_id))
+BOOST_DESCRIBE_STRUCT(find_job, (), (m_id, m_wait_ms))
 
 /// Cancels a durable job.
 struct cancel_durable_job
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -18,6 +18,9 @@
 
 // A job of a client that does not say how long it waits.
 constexpr auto default_wait = duration{std::chrono::seconds{30}};
+// Half of the wait of common clients, 1.5 s, leaves time to ask another
+// replica.
+constexpr auto longest_state_wait = duration{std::chrono::milliseconds{750}};
 // Balancers ask once a second and act on the second miss. Until then a closed
 // connection might come back to this entry.
 constexpr auto notice_time = duration{std::chrono::milliseconds{2200}};
@@ -36,6 +39,14 @@
     return {state, why, {}, 0};
 }
 
+/// How long the state of a job in progress may wait for the job's end. Clients
+/// ask about when they expect it, and otherwise ask again only a quarter of a
+/// second later.
+auto to_state_wait(duration client_wait) -> duration
+{
+    return std::min(client_wait / 2, longest_state_wait);
+}
+
 auto to_wait(std::uint32_t client_wait_ms) -> duration
 {
     return client_wait_ms == 0
@@ -282,7 +293,9 @@
         if (request.m_question == job_question::cancel)
             wanted.m_operation = cancel_durable_job{request.m_job_id};
         else
-            wanted.m_operation = find_job{request.m_job_id};
+            wanted.m_operation =
+                find_job{request.m_job_id,
+                         whole_ms(to_state_wait(wanted.m_deadline - now))};
         m_requests.ask(std::move(wanted), out);
     }
 }
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -56,7 +56,9 @@
     added.m_number = ++m_last_number;
     added.m_who = who;
     added.m_operation = std::move(asked);
-    added.m_deadline = now + answer_limit;
+    if (auto const* found = std::get_if<find_job>(&added.m_operation))
+        added.m_wait_until = now + std::chrono::milliseconds{found->m_wait_ms};
+    added.m_deadline = std::max(now, added.m_wait_until) + answer_limit;
     m_pending.push_back(std::move(added));
     return true;
 }
@@ -90,6 +92,7 @@
                                  job_runner const* runner, effects& out)
     -> std::vector<settled_operation>
 {
+    m_advanced_at = now;
     auto settled = std::vector<settled_operation>{};
     auto const settle = [&](pending& waiting) -> bool
     {
@@ -178,6 +181,8 @@
         propose(waiting, log, drop_job{job->m_number});
         return std::nullopt;
     }
+    if (job != nullptr && !job->has_ended() && now < waiting.m_wait_until)
+        return std::nullopt;
     if (job != nullptr)
     {
         result.m_job_state = job->m_state;
@@ -201,7 +206,9 @@
 {
     auto first = never;
     for (auto const& each : m_pending)
-        first = std::min(first, each.m_deadline);
+        first = std::min(first, each.m_wait_until > m_advanced_at
+                                    ? each.m_wait_until
+                                    : each.m_deadline);
     return first;
 }
 
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -62,6 +62,8 @@
         operator_wait m_who;
         operation m_operation;
         time_point m_deadline = never;
+        /// Until then the answer waits for the end of the job.
+        time_point m_wait_until{0};
         /// Leader that has it now.
         node_id m_passed_to = no_node;
         /// Term in which it was proposed here.
@@ -83,6 +85,7 @@
 
     std::uint64_t m_last_number = 0;
     std::vector<pending> m_pending;
+    time_point m_advanced_at{0};
 };
 
 } // namespace hickorylatch::core
