--- a/src/core/jobs/job_runner.cpp
+++ b/src/core/jobs/job_runner.cpp
@@ -1,5 +1,6 @@
 #include "core/jobs/job_runner.hpp"
 
+#include "core/placement/contact_timeouts.hpp"
 #include "core/placement/log_fields.hpp"
 
 #include <algorithm>
@@ -21,6 +22,12 @@
 // Forgotten jobs are proposed together.
 constexpr auto most_forgotten = std::size_t{256};
 
+auto for_leader(run_placer_settings settings) -> run_placer_settings
+{
+    settings.m_contact_timeout = leader_contact_timeout;
+    return settings;
+}
+
 auto to_task_end(run_end const& end) -> task_end
 {
     return {end.m_run.m_job, end.m_run.m_task,
@@ -31,14 +38,14 @@
 
 job_runner::job_runner(job_runner_settings settings, job_store const& store,
                        time_point now, term_number term)
-    : m_settings{settings}, m_store{store}, m_term{term},
-      m_placer{settings.m_placer}, m_unheard{store.agents()}, m_doubts_end_at{
-                                                                  now}
+    : m_store{store}, m_term{term}, m_retention{settings.m_retention},
+      m_placer{for_leader(settings.m_placer)}, m_unheard{store.agents()},
+      m_doubts_end_at{now}
 {
     if (!m_unheard.empty())
         m_doubts_end_at +=
-            longest_delay + m_settings.m_placer.m_contact_timeout +
-            m_settings.m_placer.m_lease * slowest_clock_percent / 100 +
+            longest_delay + leader_contact_timeout +
+            settings.m_placer.m_lease * slowest_clock_percent / 100 +
             stop_margin;
     for (auto const& [number, job] : m_store.jobs())
     {
@@ -115,11 +122,16 @@
         auto const is_lasting = each.m_outcome == run_outcome::succeeded ||
                                 each.m_outcome == run_outcome::failed;
         (is_lasting ? held.m_ends : prompt).push_back(each);
-        if (is_lasting)
-            m_unproposed.push_back(to_task_end(each));
+        if (!is_lasting)
+            continue;
+        m_placer.hold_end(from, each);
+        m_unproposed.push_back(to_task_end(each));
+    }
+    for (auto const& each : held.m_found)
+    {
+        m_placer.hold_task(each);
+        m_unproposed.push_back(each);
     }
-    m_unproposed.insert(m_unproposed.end(), held.m_found.begin(),
-                        held.m_found.end());
     auto const needs_record = !held.m_ends.empty() || !held.m_found.empty();
     held.m_proposal = m_recordings_proposed + (needs_record ? 1 : 0);
     m_held.push_back(std::move(held));
@@ -283,7 +295,7 @@
 
 auto job_runner::note_end(time_point now, std::uint64_t number) -> void
 {
-    m_ended.emplace_back(now + m_settings.m_retention, number);
+    m_ended.emplace_back(now + m_retention, number);
 }
 
 auto job_runner::take_proposals() -> std::vector<command>
--- a/src/core/jobs/job_runner.hpp
+++ b/src/core/jobs/job_runner.hpp
@@ -21,6 +21,7 @@
 
 struct job_runner_settings
 {
+    /// The contact timeout is that of leaders.
     run_placer_settings m_placer;
     /// How long the state of an ended job can be asked for.
     duration m_retention = std::chrono::seconds{120};
@@ -97,9 +98,9 @@
     auto settle(time_point now, effects& out) -> void;
     auto note_end(time_point now, std::uint64_t number) -> void;
 
-    job_runner_settings m_settings;
     job_store const& m_store;
     term_number m_term;
+    duration m_retention;
     run_placer m_placer;
     std::vector<command> m_proposals;
 
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -200,10 +200,12 @@
     job_state m_job_state = job_state::queued;
     /// Number that was asked for.
     std::uint64_t m_count = 0;
+    /// Leader that the replica knows of; asked directly it answers sooner.
+    node_id m_leader = no_node;
 };
 BOOST_DESCRIBE_STRUCT(operate_result, (),
                       (m_sequence, m_verdict, m_version, m_document,
-                       m_job_state, m_count))
+                       m_job_state, m_count, m_leader))
 
 // Agent and control leader.
 
--- a/src/core/placement/control_requests.cpp
+++ b/src/core/placement/control_requests.cpp
@@ -61,7 +61,7 @@
         send_to_next(found->first, found->second, out);
         return std::nullopt;
     }
-    m_preferred = from;
+    m_preferred = m_replicas.contains(result.m_leader) ? result.m_leader : from;
     auto done = answered_request{std::move(found->second.m_request), result};
     m_open.erase(found);
     return done;
--- a/src/core/placement/control_requests.hpp
+++ b/src/core/placement/control_requests.hpp
@@ -58,7 +58,7 @@
         -> void;
 
     std::set<node_id> m_replicas;
-    /// Replica that answered last; asked first.
+    /// The leader as far as it is known; asked first.
     node_id m_preferred = no_node;
     std::uint64_t m_last_sequence = 0;
     std::map<std::uint64_t, open_request> m_open;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -317,13 +317,16 @@
 
 auto executor::release_ends(std::uint64_t confirmed) -> void
 {
-    auto const released =
-        std::erase_if(m_unrecorded,
-                      [confirmed](auto const& each)
-                      {
-                          return each.second != 0 && each.second <= confirmed;
-                      });
-    m_has_unacknowledged = m_has_unacknowledged || released != 0;
+    std::erase_if(m_unrecorded,
+                  [confirmed](auto const& each)
+                  {
+                      return each.second != 0 && each.second <= confirmed;
+                  });
+}
+
+auto executor::has_unacknowledged() const -> bool
+{
+    return m_is_poll_due || acknowledgeable() > m_acknowledged;
 }
 
 auto executor::acknowledgeable() const -> std::uint64_t
@@ -402,6 +405,7 @@
     m_token = static_cast<std::uint64_t>(
         std::max(report.m_clock_ms, std::int64_t{1}));
     m_listed = 0;
+    m_acknowledged = 0;
     m_unrecorded.clear();
     m_found.clear();
     m_is_lapsing = false;
@@ -414,7 +418,7 @@
     m_pace = {};
     m_probe = {};
     // Runs of an earlier process of this agent are found by the first poll.
-    m_has_unacknowledged = true;
+    m_is_poll_due = true;
     for (auto& [node, entry] : m_contacts)
         entry.m_is_announced = false;
     out.emplace_back(log_line{
@@ -559,7 +563,7 @@
     if (!m_polls.failed(now, answer.m_poll))
         return;
     // The acknowledgement may be lost with it.
-    m_has_unacknowledged = true;
+    m_is_poll_due = true;
     if (answer.m_answer == worker_answer::fenced)
         raise_token(now);
     // Another lifetime answers: nothing of the old one runs any more.
@@ -586,7 +590,6 @@
     if (ended.m_number <= m_listed)
         return;
     m_listed = ended.m_number;
-    m_has_unacknowledged = true;
     auto const found = m_live.find({ended.m_run.m_job_id, ended.m_run.m_task});
     if (found != m_live.end() && found->second.m_number == ended.m_run.m_run)
         return finish(now, found, ended.m_outcome, reason::none, out,
@@ -1011,12 +1014,12 @@
         return;
     auto const has_runs = !m_live.empty() || !m_strays.empty();
     m_polls.hold_ends(acknowledgeable() < m_listed);
-    while (auto const due = m_polls.next(now, has_runs, m_has_unacknowledged))
+    while (auto const due = m_polls.next(now, has_runs, has_unacknowledged()))
     {
         auto order = poll_runs{};
         order.m_poll = due->m_number;
         order.m_target = target();
-        order.m_acknowledged = acknowledgeable();
+        order.m_acknowledged = m_acknowledged = acknowledgeable();
         order.m_wait_ms = whole_ms(due->m_wait);
         // A worker that does not answer is left to let its runs lapse.
         if (m_polls.is_reachable() && !m_live.empty() && !m_is_lapsing)
@@ -1026,7 +1029,7 @@
             m_lease_until_ms =
                 std::max(m_lease_until_ms, order.m_lease_until_ms);
         }
-        m_has_unacknowledged = false;
+        m_is_poll_due = false;
         out.emplace_back(std::move(order));
     }
 }
@@ -1176,7 +1179,7 @@
 auto executor::is_idle() const -> bool
 {
     return m_is_stopping && m_live.empty() && m_queue.size() == 0 &&
-           !m_has_unacknowledged;
+           !has_unacknowledged();
 }
 
 auto executor::next_deadline() const -> time_point
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -155,6 +155,7 @@
     auto begin_lapse(time_point now, effects& out) -> void;
     /// Takes note that ends with these numbers are recorded.
     auto release_ends(std::uint64_t confirmed) -> void;
+    [[nodiscard]] auto has_unacknowledged() const -> bool;
     /// Ends up to this one may be forgotten by the worker.
     [[nodiscard]] auto acknowledgeable() const -> std::uint64_t;
 
@@ -250,7 +251,10 @@
     time_point m_listed_at{0};
     /// Last end that was taken into account.
     std::uint64_t m_listed = 0;
-    bool m_has_unacknowledged = false;
+    /// End up to which the worker was last told to forget.
+    std::uint64_t m_acknowledged = 0;
+    /// The worker must be asked although nothing runs.
+    bool m_is_poll_due = false;
     /// Ends that the leader must record first, by their number in the worker's
     /// list, and the message that tells of each; 0 if it is not sent yet.
     std::map<std::uint64_t, std::uint64_t> m_unrecorded;
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -24,6 +24,7 @@
     ready,
     in_doubt, ///< May have a run at an agent that was not heard yet.
     placed,
+    ending, ///< Its run has ended; the end is not recorded yet.
     succeeded
 };
 
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -24,6 +24,13 @@
 // often. A worker without a reservation may have room by then.
 constexpr auto retry_interval = duration{std::chrono::milliseconds{40}};
 
+auto is_run(placed_task const& task, node_id agent, run_ref const& run) -> bool
+{
+    auto const has_run = task.m_state == task_state::placed ||
+                         task.m_state == task_state::ending;
+    return has_run && task.m_run == run.m_run && task.m_agent == agent;
+}
+
 } // namespace
 
 run_placer::run_placer(run_placer_settings settings) : m_settings{settings}
@@ -332,8 +339,7 @@
     auto* const task = job->second.find(end.m_run.m_task);
     if (task != nullptr && task->m_state == task_state::in_doubt)
         adopt(job->second, *task, agent, end.m_run.m_run);
-    if (task == nullptr || task->m_state != task_state::placed ||
-        task->m_run != end.m_run.m_run || task->m_agent != agent)
+    if (task == nullptr || !is_run(*task, agent, end.m_run))
         return false;
     if (end.m_outcome != run_outcome::refused)
         job->second.note_started();
@@ -396,6 +402,31 @@
     return false;
 }
 
+auto run_placer::hold_end(node_id agent, run_end const& end) -> void
+{
+    auto* const job = find(end.m_run.m_job);
+    auto* const task = job == nullptr ? nullptr : job->find(end.m_run.m_task);
+    if (task == nullptr)
+        return;
+    if (task->m_state == task_state::in_doubt)
+        adopt(*job, *task, agent, end.m_run.m_run);
+    if (is_run(*task, agent, end.m_run))
+        task->m_state = task_state::ending;
+}
+
+auto run_placer::hold_task(task_end const& end) -> void
+{
+    auto* const job = find(end.m_job);
+    auto* const task = job == nullptr ? nullptr : job->find(end.m_task);
+    if (task == nullptr)
+        return;
+    // The run may have been ordered at an agent process that is gone.
+    auto const is_gone = task->m_state == task_state::placed &&
+                         !m_workers.is_connected(task->m_agent);
+    if (task->m_state == task_state::in_doubt || is_gone)
+        task->m_state = task_state::ending;
+}
+
 auto run_placer::settle_task(time_point now, task_end const& end,
                              random_source& random, effects& out) -> void
 {
@@ -409,8 +440,10 @@
         out.emplace_back(
             send{task->m_agent, withdraw_runs{{job->second.ref(*task)}}});
     if (end.m_has_succeeded)
-        succeed(now, job->second, *task, random, out);
-    else if (count_failure(job->second, *task))
+        return succeed(now, job->second, *task, random, out);
+    if (task->m_state == task_state::ending)
+        job->second.came_back(*task);
+    if (count_failure(job->second, *task))
         carry_on(now, end.m_job, random, out);
 }
 
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -72,6 +72,12 @@
     auto take_end(time_point now, node_id agent, run_end const& end,
                   random_source& random, effects& out) -> bool;
 
+    /// A run has ended, and `take_end` follows once that is recorded. Until
+    /// then its task is not placed again.
+    auto hold_end(node_id agent, run_end const& end) -> void;
+    /// The same for a run that this process knows no order of; `settle_task`
+    /// follows.
+    auto hold_task(task_end const& end) -> void;
     /// A run that this process knows no order of has ended.
     auto settle_task(time_point now, task_end const& end, random_source& random,
                      effects& out) -> void;
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -282,6 +282,7 @@
                               operate_result result) -> void
 {
     result.m_sequence = who.m_sequence;
+    result.m_leader = m_replica.leader();
     if (who.m_entry == no_node)
         out.emplace_back(reply_operator{who.m_sequence, std::move(result)});
     else
@@ -534,8 +535,8 @@
     broadcast(with);
     if (!m_has_group_settings)
         return;
-    m_job_runner = std::make_unique<job_runner>(m_job_settings, m_state.jobs(),
-                                                with.m_now, m_replica.term());
+    m_job_runner = std::make_unique<job_runner>(
+        m_settings.m_jobs, m_state.jobs(), with.m_now, m_replica.term());
     for (auto const& [node, peer] : m_peers)
         if (peer.m_role == role::agent)
             m_job_runner->connected(node, with.m_out);
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -115,7 +115,6 @@
     std::optional<coordinator> m_coordinator;
     /// While it leads a group that founds and repairs itself.
     std::unique_ptr<job_runner> m_job_runner;
-    job_runner_settings m_job_settings;
     /// Term whose first entry is applied; the leader of it knows everything.
     term_number m_applied_term = 0;
     log_index m_applied = 0;
--- a/src/core/roles/coordinator.hpp
+++ b/src/core/roles/coordinator.hpp
@@ -2,6 +2,7 @@
 #define HICKORYLATCH_CORE_ROLES_COORDINATOR_HPP
 
 #include "core/dispatch/dispatcher.hpp"
+#include "core/jobs/job_runner.hpp"
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
 #include "core/replication/replica.hpp"
@@ -21,6 +22,8 @@
 /// Time limits and bounds of the control leader.
 struct control_settings
 {
+    /// For durable step jobs.
+    job_runner_settings m_jobs;
     /// Lease of entries and agents, from the send time of the renewal.
     duration m_lease = std::chrono::milliseconds{3000};
     /// An agent that was not heard from gets no new work after this time.
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -19,6 +19,22 @@
 constexpr auto most_open_jobs = std::size_t{10'000};
 constexpr auto open_jobs_retry_ms = std::uint32_t{1'000};
 
+/// The end of a job that an operation asks for, which any replica that knows it
+/// can tell: it never changes.
+auto known_end(operation const& asked, control_state const& state)
+    -> std::optional<operate_result>
+{
+    auto const* found = std::get_if<find_job>(&asked);
+    auto const* job =
+        found == nullptr ? nullptr : state.jobs().find(found->m_id);
+    if (job == nullptr || !job->has_ended())
+        return std::nullopt;
+    auto result = operate_result{};
+    result.m_verdict.m_run = run_state::ran;
+    result.m_job_state = job->m_state;
+    return result;
+}
+
 } // namespace
 
 auto pending_operations::takes(operation const& asked) -> bool
@@ -77,8 +93,8 @@
     auto settled = std::vector<settled_operation>{};
     auto const settle = [&](pending& waiting) -> bool
     {
-        auto result = std::optional<operate_result>{};
-        if (is_leading)
+        auto result = known_end(waiting.m_operation, state);
+        if (!result && is_leading)
             result = lead(now, waiting, log, state, runner);
         if (!result && now >= waiting.m_deadline)
         {
@@ -152,32 +168,32 @@
         propose(waiting, log, accept_job{posted->m_job, posted->m_queue});
         return std::nullopt;
     }
-    if (!is_confirmed(now, waiting, log))
-        return std::nullopt;
-    if (auto const* counted = std::get_if<count_waiting_jobs>(&asked))
-    {
-        result.m_count =
-            runner == nullptr ? 0 : runner->waiting_jobs(counted->m_queue);
-        return result;
-    }
     auto const* cancelled = std::get_if<cancel_durable_job>(&asked);
     auto const* found = std::get_if<find_job>(&asked);
-    if (cancelled == nullptr && found == nullptr)
-    {
-        result.m_document = state.config().m_document;
-        return result;
-    }
-    auto const* job =
-        state.jobs().find(cancelled != nullptr ? cancelled->m_id : found->m_id);
-    if (job == nullptr)
-        result.m_verdict = refused(reason::key_forgotten, "no such job");
-    else if (cancelled != nullptr && !job->has_ended())
+    auto const* job = cancelled != nullptr ? state.jobs().find(cancelled->m_id)
+                      : found != nullptr   ? state.jobs().find(found->m_id)
+                                           : nullptr;
+    if (job != nullptr && cancelled != nullptr && !job->has_ended())
     {
         propose(waiting, log, drop_job{job->m_number});
         return std::nullopt;
     }
-    else
+    if (job != nullptr)
+    {
         result.m_job_state = job->m_state;
+        return result;
+    }
+    // What is known can be told at once; that a job is not known, only once it
+    // is certain that no other leader has accepted it.
+    if (!is_confirmed(now, waiting, log))
+        return std::nullopt;
+    if (cancelled != nullptr || found != nullptr)
+        result.m_verdict = refused(reason::key_forgotten, "no such job");
+    else if (auto const* counted = std::get_if<count_waiting_jobs>(&asked))
+        result.m_count =
+            runner == nullptr ? 0 : runner->waiting_jobs(counted->m_queue);
+    else
+        result.m_document = state.config().m_document;
     return result;
 }
 
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -36,6 +36,9 @@
 constexpr auto fewest_loads = std::uint32_t{500};
 constexpr auto most_loads = std::uint32_t{3'000};
 
+// The platform counts from when it saw the end, which may be later.
+constexpr auto retention_factor = 2U;
+
 auto fail(std::string text) -> boost::leaf::error_id
 {
     return boost::leaf::new_error(settings_error{std::move(text)});
@@ -78,6 +81,17 @@
     return join(ip, first_port + control_link_port_offset);
 }
 
+auto to_placement(host_settings const& host) -> settings::placement_settings
+{
+    auto placement = settings::placement_settings{};
+    placement.m_spread_factor = host.m_spread_factor;
+    placement.m_lease_ms = host.m_lease_ms;
+    placement.m_loads_per_s = std::clamp(
+        static_cast<std::uint32_t>(host.m_processor_share * loads_per_core),
+        fewest_loads, most_loads);
+    return placement;
+}
+
 } // namespace
 
 auto parse_host_settings(std::string_view text)
@@ -107,6 +121,8 @@
         auto const bounds = read_table(file, "bounds");
         out.m_lease_ms =
             static_cast<std::uint32_t>(read_number(bounds, "maxHoldMs", 1'000));
+        out.m_job_retention_s =
+            static_cast<std::uint32_t>(read_number(bounds, "status_s", 120));
         out.m_spread_factor = read_number(bounds, "spreadFactor", 1.0);
         out.m_tolerated_losses = static_cast<std::uint32_t>(
             read_number(read_table(file, "faultTolerance"), "machines", 1));
@@ -152,11 +168,7 @@
         broker.m_advertised_address =
             join(host.m_ip, host.m_first_port + entry_link_port_offset);
         broker.m_operators_address = join(host.m_own_ip, entry_metrics_port);
-        broker.m_spread_factor = host.m_spread_factor;
-        broker.m_lease_ms = host.m_lease_ms;
-        broker.m_loads_per_s = std::clamp(
-            static_cast<std::uint32_t>(host.m_processor_share * loads_per_core),
-            fewest_loads, most_loads);
+        broker.m_placement = to_placement(host);
         out.m_broker = std::move(broker);
         return out;
     }
@@ -182,6 +194,8 @@
     control.m_data_folder = host.m_data_folder;
     control.m_segment_bytes = segment_bytes;
     control.m_snapshot_interval_bytes = snapshot_interval_bytes;
+    control.m_placement = to_placement(host);
+    control.m_job_retention_s = host.m_job_retention_s * retention_factor;
     control.m_group.m_seeds = out.m_control_addresses;
     control.m_group.m_is_first_start = host.m_is_first_start;
     // A majority must remain when the tolerated number is lost.
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -53,6 +53,9 @@
     std::uint32_t m_tolerated_losses = 1;
     /// Longest lease that a worker grants, in milliseconds ("maxHoldMs").
     std::uint32_t m_lease_ms = 1'000;
+    /// How long the state of an ended job can be asked for, in seconds
+    /// ("status_s").
+    std::uint32_t m_job_retention_s = 120;
     /// How much longer a task runs away from its data ("spreadFactor").
     double m_spread_factor = 1.0;
     std::uint32_t m_memory_mb = 0;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -94,6 +94,16 @@
     return image ? std::optional{std::move(*image)} : std::nullopt;
 }
 
+auto to_placer(settings::placement_settings const& wanted)
+    -> core::run_placer_settings
+{
+    auto placer = core::run_placer_settings{};
+    placer.m_spread_factor = wanted.m_spread_factor;
+    placer.m_lease = std::chrono::milliseconds{wanted.m_lease_ms};
+    placer.m_loads_per_s = wanted.m_loads_per_s;
+    return placer;
+}
+
 /// Where others reach a role that listens.
 template <typename Role>
 auto advertised(Role const& wanted) -> std::string const&
@@ -196,6 +206,8 @@
     limits.m_content_limit = m_settings.m_frame_limit_bytes / 2;
     limits.m_snapshot_interval = wanted.m_snapshot_interval_entries;
     limits.m_snapshot_bytes = wanted.m_snapshot_interval_bytes;
+    limits.m_jobs.m_placer = to_placer(wanted.m_placement);
+    limits.m_jobs.m_retention = std::chrono::seconds{wanted.m_job_retention_s};
     auto replication = core::replica_settings{};
     if (!wanted.m_group.m_seeds.empty())
     {
@@ -255,11 +267,8 @@
     if (auto const& wanted = m_settings.m_broker)
     {
         m_node.m_address = advertised(*wanted);
-        auto placer = core::run_placer_settings{};
-        placer.m_spread_factor = wanted->m_spread_factor;
-        placer.m_lease = std::chrono::milliseconds{wanted->m_lease_ms};
-        placer.m_loads_per_s = wanted->m_loads_per_s;
-        m_node.m_broker.emplace(core::broker_settings{seeds, placer});
+        m_node.m_broker.emplace(
+            core::broker_settings{seeds, to_placer(wanted->m_placement)});
     }
     if (auto const& wanted = m_settings.m_executor)
         m_node.m_executor.emplace(core::executor_settings{
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -54,6 +54,18 @@
     std::uint32_t m_header_timeout_ms = 10'000;
 };
 
+/// How a process places the tasks of step jobs on workers. Set by adapters
+/// only.
+struct placement_settings
+{
+    /// How much longer a task runs away from the rack with its data.
+    double m_spread_factor = 1.0;
+    /// Longest lease that a worker grants, in milliseconds.
+    std::uint32_t m_lease_ms = 1'000;
+    /// Loads of workers that the processor has time for, per second.
+    std::uint32_t m_loads_per_s = 3'000;
+};
+
 /// The control role: one replica of the replicated state.
 struct control_settings
 {
@@ -82,6 +94,11 @@
     /// The group founds and repairs itself from these replicas. Set by
     /// adapters only; otherwise operators do both.
     core::group_settings m_group = {};
+    /// For durable step jobs, while this replica leads.
+    placement_settings m_placement = {};
+    /// How long the state of an ended step job can be asked for, in seconds.
+    /// Set by adapters only.
+    std::uint32_t m_job_retention_s = 120;
 };
 
 /// The broker role: step jobs, placed on workers directly. Set by adapters
@@ -94,12 +111,7 @@
     std::string m_advertised_address;
     /// "ip:port" of metrics and health.
     std::string m_operators_address;
-    /// How much longer a task runs away from the rack with its data.
-    double m_spread_factor = 1.0;
-    /// Longest lease that a worker grants, in milliseconds.
-    std::uint32_t m_lease_ms = 1'000;
-    /// Loads of workers that the processor has time for, per second.
-    std::uint32_t m_loads_per_s = 3'000;
+    placement_settings m_placement;
 };
 
 /// The executor role: runs of step jobs at one worker. Set by adapters only.
--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -180,3 +180,182 @@
                   core::contact_confirmed{milliseconds{3'010}, first, 0}, out);
     BOOST_TEST(refused(agent, milliseconds{3'020}) > first);
 }
+
+namespace
+{
+
+constexpr auto first_leader = core::node_id{11};
+constexpr auto next_leader = core::node_id{12};
+
+/// Ends of runs that were sent to a process.
+auto told_ends(core::effects const& out, core::node_id to)
+    -> std::vector<core::runs_ended>
+{
+    auto told = std::vector<core::runs_ended>{};
+    for (auto const& each : out)
+        if (auto const* sent = std::get_if<core::send>(&each);
+            sent != nullptr && sent->m_to == to)
+            if (auto const* news =
+                    std::get_if<core::runs_ended>(&sent->m_message))
+                told.push_back(*news);
+    return told;
+}
+
+/// An agent with one run of a durable job, and the run as its worker knows it.
+struct agent_of_a_leader
+{
+    agent_of_a_leader() : m_agent{make_agent(m_out)}
+    {
+        m_agent.receive(milliseconds{1'003}, first_leader, core::lead_jobs{4},
+                        m_out);
+        confirm(milliseconds{1'004}, first_leader, 0);
+        auto order = make_order();
+        order.m_time_left_ms = 60'000;
+        order.m_runs.front().m_expected_ms = 10'000;
+        m_agent.receive(milliseconds{1'010}, first_leader, order, m_out);
+        m_run = last<core::start_run>(m_out)->m_run;
+        m_agent.answered(milliseconds{1'011},
+                         core::run_start_answered{
+                             m_run, core::worker_answer::accepted, 1'011},
+                         m_out);
+        m_poll = last<core::poll_runs>(m_out)->m_poll;
+    }
+
+    auto confirm(core::time_point now, core::node_id from, std::uint64_t ends)
+        -> void
+    {
+        m_agent.receive(now, from, core::contact_confirmed{now, ends, 0, 0},
+                        m_out);
+    }
+
+    /// The worker lists the end of the run.
+    auto list_end(core::time_point now) -> void
+    {
+        auto list = poll_answer(m_poll);
+        list.m_ended = {{1, m_run, core::run_outcome::succeeded}};
+        m_agent.answered(now, list, m_out);
+    }
+
+    /// End up to which the worker was last told to forget.
+    auto acknowledged() const -> std::uint64_t
+    {
+        return last<core::poll_runs>(m_out)->m_acknowledged;
+    }
+
+    core::effects m_out;
+    core::executor m_agent;
+    core::worker_run m_run;
+    /// The poll that the worker answers at the next end.
+    std::uint64_t m_poll = 0;
+};
+
+} // namespace
+
+// Guards against an end of a durable job that the worker forgets before it is
+// stored: if the leader is lost then, the task runs again.
+BOOST_AUTO_TEST_CASE(an_end_is_acknowledged_once_the_leader_has_recorded_it)
+{
+    auto agent = agent_of_a_leader{};
+    agent.list_end(milliseconds{1'100});
+    auto const told = told_ends(agent.m_out, first_leader);
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_TEST(agent.acknowledged() == 0U);
+    agent.confirm(milliseconds{1'110}, first_leader, told.front().m_number - 1);
+    BOOST_TEST(agent.acknowledged() == 0U);
+    agent.confirm(milliseconds{1'120}, first_leader, told.front().m_number);
+    BOOST_TEST(agent.acknowledged() == 1U);
+}
+
+// Guards against runs that are stopped, and ends that are not told, because the
+// control group has another leader.
+BOOST_AUTO_TEST_CASE(the_next_leader_is_told_of_runs_and_ends)
+{
+    auto agent = agent_of_a_leader{};
+    agent.m_out.clear();
+    agent.m_agent.receive(milliseconds{1'500}, next_leader, core::lead_jobs{5},
+                          agent.m_out);
+    auto const listed = std::ranges::any_of(
+        agent.m_out,
+        [](core::effect const& each)
+        {
+            auto const* sent = std::get_if<core::send>(&each);
+            auto const* news =
+                sent == nullptr
+                    ? nullptr
+                    : std::get_if<core::worker_announcement>(&sent->m_message);
+            return news != nullptr && sent->m_to == next_leader &&
+                   news->m_runs.size() == 1;
+        });
+    BOOST_TEST(listed);
+    // The leader before has no say any more.
+    agent.m_agent.receive(milliseconds{1'501}, first_leader,
+                          core::withdraw_runs{{{1, {0, 0}, 1}}}, agent.m_out);
+    agent.m_agent.receive(milliseconds{1'502}, first_leader, core::lead_jobs{4},
+                          agent.m_out);
+    BOOST_TEST(last<core::stop_run>(agent.m_out) == nullptr);
+    // Contact lasts from one leader to the next.
+    agent.m_agent.tick(milliseconds{2'900}, agent.m_out);
+    BOOST_TEST(last<core::stop_run>(agent.m_out) == nullptr);
+    agent.list_end(milliseconds{2'901});
+    BOOST_TEST(told_ends(agent.m_out, next_leader).size() == 1U);
+    BOOST_TEST(told_ends(agent.m_out, first_leader).empty());
+}
+
+// Guards against an end that counts though the leader has given its run up and
+// ordered another one: such an end may be acknowledged only after the lease of
+// the worker has lapsed.
+BOOST_AUTO_TEST_CASE(the_lease_lapses_before_an_end_that_was_given_up_counts)
+{
+    auto agent = agent_of_a_leader{};
+    agent.list_end(milliseconds{1'100});
+    agent.m_agent.disconnected(milliseconds{1'200}, first_leader, agent.m_out);
+    agent.m_agent.tick(milliseconds{3'100}, agent.m_out);
+    agent.m_out.clear();
+    // Another entry's run is refused meanwhile.
+    agent.m_agent.receive(milliseconds{3'110}, entry,
+                          core::contact_confirmed{milliseconds{3'110}, 0, 0},
+                          agent.m_out);
+    agent.m_agent.receive(milliseconds{3'111}, entry, make_order(),
+                          agent.m_out);
+    BOOST_TEST(last<core::start_run>(agent.m_out) == nullptr);
+    agent.m_agent.tick(milliseconds{4'500}, agent.m_out);
+    agent.m_agent.receive(milliseconds{4'510}, entry,
+                          core::contact_confirmed{milliseconds{4'510}, 0, 0},
+                          agent.m_out);
+    auto order = make_order();
+    order.m_order = 2;
+    order.m_job_id = "00000000000000bb";
+    agent.m_agent.receive(milliseconds{4'511}, entry, order, agent.m_out);
+    BOOST_TEST(last<core::start_run>(agent.m_out) != nullptr);
+}
+
+// Guards against an end that is acknowledged by a new process of the agent,
+// which does not know that it belongs to a durable job.
+BOOST_AUTO_TEST_CASE(ends_of_an_earlier_process_are_told_to_the_leader)
+{
+    auto out = core::effects{};
+    auto agent = core::executor{core::executor_settings{}};
+    auto report = core::worker_report{};
+    report.m_name = "w";
+    report.m_incarnation = 1;
+    report.m_service = "desk";
+    report.m_capacity = {16'000, 1'024, 0};
+    report.m_clock_ms = 1'000;
+    report.m_sequence = 1;
+    agent.reported(milliseconds{1'000}, report, out);
+    auto list = poll_answer(last<core::poll_runs>(out)->m_poll);
+    list.m_ended = {
+        {1, {"00000000000000aa", {0, 3}, 1}, core::run_outcome::succeeded}};
+    agent.answered(milliseconds{1'001}, list, out);
+    BOOST_TEST(last<core::poll_runs>(out)->m_acknowledged == 0U);
+    agent.receive(milliseconds{1'010}, first_leader, core::lead_jobs{4}, out);
+    auto const told = told_ends(out, first_leader);
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_REQUIRE(told.front().m_found.size() == 1U);
+    BOOST_TEST(told.front().m_found.front().m_job_id == "00000000000000aa");
+    agent.receive(milliseconds{1'020}, first_leader,
+                  core::contact_confirmed{milliseconds{1'020},
+                                          told.front().m_number, 0, 0},
+                  out);
+    BOOST_TEST(last<core::poll_runs>(out)->m_acknowledged == 1U);
+}
--- a/tests/system/soak/__main__.py
+++ b/tests/system/soak/__main__.py
@@ -129,6 +129,7 @@
         await asyncio.sleep(RECOVERY_S)
         await self.check_calm(operator, calm_until)
         await asyncio.gather(*load)
+        self.ledger.check_all_ended()
         watch.cancel()
 
     async def check_calm(self, operator, calm_until):
