Do not begin a request whose connection was reset before it was read

Callers saw: a task of theirs ran twice at the same time. A client whose connection is reset while its request is on its way sends the request to another server at once.

Change: the state of the connection is looked at before the request is handed on.

request_of_a_reset_connection_is_not_begun failed first: 2 requests were begun instead of 1. Why it works: a client sends its request again only after it has seen the reset, which is then at this socket, too, unless packets are lost one way.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -106,6 +106,15 @@
     return request;
 }
 
+/// True if the client has closed the connection, or it was reset.
+auto is_closed_by_client(evhttp_connection* connection) -> bool
+{
+    auto state = pollfd{};
+    state.fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    state.events = POLLRDHUP;
+    return ::poll(&state, 1, 0) > 0;
+}
+
 auto is_released(bufferevent* connection) -> bool
 {
     bufferevent_event_cb event_callback = nullptr;
@@ -360,7 +369,10 @@
     arrived.m_exchange = exchange->m_id;
     state.m_exchange = exchange->m_id;
     m_exchanges.emplace(exchange->m_id, std::move(exchange));
-    m_handler(std::move(arrived));
+    // A client whose connection was reset sends its request to another server
+    // at once. The event above ends the exchange.
+    if (!is_closed_by_client(connection))
+        m_handler(std::move(arrived));
 }
 
 auto http_server::track(evhttp_connection* connection) -> void
@@ -415,11 +427,7 @@
 
 auto http_server::check_client(open_exchange& exchange) -> void
 {
-    auto* const connection = evhttp_request_get_connection(exchange.m_request);
-    auto state = pollfd{};
-    state.fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    state.events = POLLRDHUP;
-    if (::poll(&state, 1, 0) > 0)
+    if (is_closed_by_client(evhttp_request_get_connection(exchange.m_request)))
         return client_closed(exchange.m_id);
     // The next request is there already, and would wake the loop all the time.
     exchange.m_closed.reset(event_new(
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -243,6 +243,36 @@
     }
 }
 
+// Guards against a job that is begun for a client whose connection was reset
+// before its request was read; it has sent the job to another server (TWICE).
+BOOST_AUTO_TEST_CASE(request_of_a_reset_connection_is_not_begun)
+{
+    auto loop = net::event_loop{};
+    auto tested = server{loop};
+    auto client = raw_socket{tested.m_port};
+    client.send(request_text("/first"));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return tested.m_requests.size() == 1U;
+                         }));
+    tested.m_http.answer(tested.m_requests[0].m_exchange, 200, {}, "");
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return tested.m_http.is_idle();
+                         }));
+    client.send(request_text("/second"));
+    client.reset();
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return tested.m_http.connections() == 0U;
+                         }));
+    BOOST_TEST(tested.m_requests.size() == 1U);
+    BOOST_TEST(tested.m_http.open_exchanges() == 0U);
+}
+
 // Guards against work for a caller who has gone, and against a late answer
 // that reaches someone else or crashes.
 BOOST_AUTO_TEST_CASE(closed_client_abandons_its_exchange)
