Let a job's runs end at one entry before another begins it

Callers saw: a task of theirs ran twice at the same time, at two entries. An entry that notices late that its caller has gone, or can't notice it (packets lost one way, a silent connection, a freeze), runs on beside the entry to which the client has sent the job. An entry whose run had been stopped for another's even placed it again elsewhere.

Cause: entries place jobs without knowing of each other, so who has a job was never agreed. Class: two owners of one thing, with a time-out or a notice in the place of a hand-over.

Change: an entry claims each job at one agent, chosen by the job's id among the agents of its failure domain. A job that may have been sent before (the first request of its connection) waits for the answer. An entry follows the runs of jobs that it gave up, and does not begin one anew before. A job that another entry had is never answered "not run".

--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -103,6 +103,11 @@
     step_job m_job;
     /// How long the client waits, in milliseconds; 0 if it did not say.
     std::uint32_t m_client_wait_ms = 0;
+    /// The client may have sent it to another process before: it is the first
+    /// request of its connection.
+    bool m_may_be_resent = false;
+    /// Another process had the job, which may have run there.
+    bool m_may_have_run = false;
 };
 
 /// What a client asks about jobs that were posted.
--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -52,7 +52,11 @@
                                          "lead_jobs",
                                          "configuration_notice",
                                          "fetch_configuration",
-                                         "configuration_patch"});
+                                         "configuration_patch",
+                                         "claim_job",
+                                         "claim_answer",
+                                         "yield_job",
+                                         "job_yielded"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(alternative);
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -681,6 +681,46 @@
 };
 BOOST_DESCRIBE_STRUCT(lead_jobs, (), (m_term))
 
+/// Tells an agent that the sender places the job from now on. Entries agree at
+/// one agent for each job, so that a job that its client sent to two of them
+/// runs at one at a time.
+struct claim_job
+{
+    std::string m_job_id;
+    /// The sender orders nothing before the answer. Otherwise it has ordered
+    /// already, and is answered only if another entry has the job.
+    bool m_is_asking = false;
+    /// How long the claim lasts, in milliseconds.
+    std::uint32_t m_time_left_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(claim_job, (), (m_job_id, m_is_asking, m_time_left_ms))
+
+struct claim_answer
+{
+    std::string m_job_id;
+    /// No other entry has runs of the job. Otherwise one was told to give it
+    /// up, and a second answer may follow.
+    bool m_is_granted = false;
+    /// When the runs of the other entry have ended in any case, in
+    /// milliseconds.
+    std::uint32_t m_wait_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(claim_answer, (), (m_job_id, m_is_granted, m_wait_ms))
+
+/// Another entry wants the job: its client has sent it there.
+struct yield_job
+{
+    std::string m_job_id;
+};
+BOOST_DESCRIBE_STRUCT(yield_job, (), (m_job_id))
+
+/// The sender has no runs of the job any more.
+struct job_yielded
+{
+    std::string m_job_id;
+};
+BOOST_DESCRIBE_STRUCT(job_yielded, (), (m_job_id))
+
 struct run_end
 {
     run_ref m_run;
@@ -723,7 +763,8 @@
     process_list, worker_announcement, worker_load, contact_confirmed,
     order_runs, withdraw_runs, runs_ended, reserve_room, offer_room,
     decline_room, release_room, reservation_dropped, lead_jobs,
-    configuration_notice, fetch_configuration, configuration_patch>;
+    configuration_notice, fetch_configuration, configuration_patch, claim_job,
+    claim_answer, yield_job, job_yielded>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -54,10 +54,19 @@
                : duration{std::chrono::milliseconds{client_wait_ms}};
 }
 
+/// The client has waited that long already.
+auto reduce_wait(job_arrived& request, duration waited) -> void
+{
+    if (request.m_client_wait_ms != 0)
+        request.m_client_wait_ms -=
+            std::min(whole_ms(waited), request.m_client_wait_ms - 1);
+}
+
 } // namespace
 
 broker::broker(broker_settings settings)
     : m_takes_durable_jobs{settings.m_takes_durable_jobs},
+      m_failure_domain{std::move(settings.m_failure_domain)},
       m_links{{.m_seeds = std::move(settings.m_seeds),
                .m_name = settings.m_name,
                .m_controls = followed_replicas}},
@@ -89,7 +98,14 @@
 {
     if (m_placer.receive(now, from, incoming,
                          m_configuration.config().m_version, random, out))
-        settle(now, out);
+        settle(now, random, out);
+    else if (auto const* told = std::get_if<claim_answer>(&incoming))
+    {
+        m_claims.answered(now, *told, out);
+        settle(now, random, out);
+    }
+    else if (auto const* wanted = std::get_if<yield_job>(&incoming))
+        yield(now, from, wanted->m_job_id, out);
     else if (m_configuration.receive(now, from, incoming, out))
         ;
     else if (auto const* known = std::get_if<process_list>(&incoming))
@@ -105,7 +121,7 @@
     take_early(now, random, out);
 }
 
-auto broker::settle(time_point now, effects& out) -> void
+auto broker::settle(time_point now, random_source& random, effects& out) -> void
 {
     for (auto const& ended : m_placer.take_outcomes())
     {
@@ -115,6 +131,23 @@
         else
             fail(now, ended.m_job, reason::call_failed, out);
     }
+    for (auto const number : m_placer.take_retired())
+        m_claims.ended(number, out);
+    for (auto& [request, waited] : m_claims.take_ready(now, out))
+    {
+        reduce_wait(request, waited);
+        begin(now, request, true, random, out);
+    }
+}
+
+auto broker::yield(time_point now, node_id agent, std::string const& job_id,
+                   effects& out) -> void
+{
+    auto const why = uncertain(reason::cancelled, "sent to another entry");
+    if (auto const found = m_by_id.find(job_id); found != m_by_id.end())
+        finish(now, found->second, why, job_state::cancelled, out);
+    for (auto const& request : m_claims.yield(agent, job_id, out))
+        refuse(request, why, out);
 }
 
 auto broker::refusal(time_point now, job_arrived const& request,
@@ -153,9 +186,12 @@
             !m_placer.workers().has_any_usable(now));
 }
 
-auto broker::refuse(job_arrived const& request, verdict const& why,
+auto broker::refuse(job_arrived const& request, verdict const& cause,
                     effects& out) -> void
 {
+    auto const why = request.m_may_have_run
+                         ? uncertain(cause.m_reason, cause.m_detail)
+                         : cause;
     out.emplace_back(log_line{
         log_level::info,
         "job_refused",
@@ -175,6 +211,29 @@
         m_early.emplace_back(now, request);
         return;
     }
+    if (must_ask(request))
+    {
+        m_claims.ask(now, request,
+                     m_placer.workers().claim_agent(request.m_job.m_id,
+                                                    m_failure_domain),
+                     to_wait(request.m_client_wait_ms), out);
+        settle(now, random, out);
+    }
+    else
+        begin(now, request, false, random, out);
+}
+
+auto broker::must_ask(job_arrived const& request) const -> bool
+{
+    auto const& id = request.m_job.m_id;
+    return !request.m_job.m_is_durable && !m_by_id.contains(id) &&
+           (request.m_may_be_resent || m_claims.is_waiting(id) ||
+            m_claims.is_retiring(id));
+}
+
+auto broker::begin(time_point now, job_arrived const& request, bool is_claimed,
+                   random_source& random, effects& out) -> void
+{
     auto const* queue =
         m_configuration.find_queue(request.m_host, request.m_path);
     auto const outcome = refusal(now, request, queue);
@@ -189,7 +248,7 @@
              m_placer.find(same->second)->queue().m_name == queue->m_name)
         join(now, request, same->second, out);
     else
-        take(now, request, *queue, random, out);
+        take(now, request, *queue, is_claimed, random, out);
 }
 
 auto broker::add_caller(exchange_id exchange, std::uint64_t job) -> void
@@ -219,17 +278,14 @@
         return;
     for (auto& [arrived_at, request] : std::exchange(m_early, {}))
     {
-        auto const waited = whole_ms(now - arrived_at);
-        if (request.m_client_wait_ms != 0)
-            request.m_client_wait_ms -=
-                std::min(waited, request.m_client_wait_ms - 1);
+        reduce_wait(request, now - arrived_at);
         arrived(now, request, random, out);
     }
 }
 
 auto broker::take(time_point now, job_arrived const& request,
-                  job_queue const& queue, random_source& random, effects& out)
-    -> void
+                  job_queue const& queue, bool is_claimed,
+                  random_source& random, effects& out) -> void
 {
     auto const wait = to_wait(request.m_client_wait_ms);
     auto const number = ++m_last_job;
@@ -246,11 +302,20 @@
     {
         m_placer.drop(made);
         finish(now, number,
-               refused(reason::no_capacity, "expected to be late",
-                       std::max(whole_ms(made.m_wait - limit), busy_retry_ms)),
+               request.m_may_have_run
+                   ? uncertain(reason::no_capacity)
+                   : refused(reason::no_capacity, "expected to be late",
+                             std::max(whole_ms(made.m_wait - limit),
+                                      busy_retry_ms)),
                job_state::failed, out);
         return;
     }
+    if (request.m_may_have_run)
+        job.note_started();
+    auto const& id = request.m_job.m_id;
+    if (auto const agent = m_placer.workers().claim_agent(id, m_failure_domain);
+        !is_claimed && agent != no_node)
+        out.emplace_back(send{agent, claim_job{id, false, whole_ms(wait)}});
     if (!made.m_reservations.empty())
         job.set_forecast(made.m_forecast);
     m_placer.carry_out(now, number, std::move(made), out);
@@ -371,6 +436,7 @@
                       return early.second.m_exchange == exchange;
                   });
     m_requests.abandon(exchange);
+    m_claims.abandon(exchange);
     auto const found = m_exchanges.find(exchange);
     if (found == m_exchanges.end())
         return;
@@ -437,7 +503,9 @@
         by_id != m_by_id.end() && by_id->second == number)
         m_by_id.erase(by_id);
     m_deadlines.erase({ended.deadline(), number});
-    m_placer.remove(number, out);
+    auto const id = ended.job().m_id;
+    if (m_placer.retire(number, out))
+        m_claims.retire(id, number);
 }
 
 auto broker::tick(time_point now, random_source& random, effects& out) -> void
@@ -457,7 +525,7 @@
     m_configuration.tick(now, out);
     m_placer.tick(now, random, out);
     static_cast<void>(m_placer.take_gone());
-    settle(now, out);
+    settle(now, random, out);
 }
 
 auto broker::replace_seeds(time_point now,
@@ -489,14 +557,16 @@
 
 auto broker::is_empty() const -> bool
 {
-    return jobs() == 0 && m_early.empty() && m_requests.size() == 0;
+    return jobs() == 0 && m_early.empty() && m_requests.size() == 0 &&
+           m_claims.size() == 0;
 }
 
 auto broker::next_deadline() const -> time_point
 {
-    auto first = std::min({m_placer.next_deadline(), m_requests.next_deadline(),
-                           m_links.next_deadline(),
-                           m_configuration.next_deadline(), m_close_at});
+    auto first =
+        std::min({m_placer.next_deadline(), m_requests.next_deadline(),
+                  m_links.next_deadline(), m_configuration.next_deadline(),
+                  m_claims.next_deadline(), m_close_at});
     if (!m_early.empty())
         first = std::min(first, m_started_at + start_time);
     if (m_refuse_at != never && m_close_at == never && is_empty())
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -6,6 +6,7 @@
 #include "core/model/random_source.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/control_requests.hpp"
+#include "core/placement/job_claims.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/run_placer.hpp"
 
@@ -26,6 +27,7 @@
     std::string m_name;
     /// Addresses of control replicas to begin with.
     std::vector<std::string> m_seeds;
+    std::string m_failure_domain;
     run_placer_settings m_placer;
     /// Passes durable jobs on to the control group. Otherwise they are refused.
     bool m_takes_durable_jobs = false;
@@ -69,8 +71,18 @@
     [[nodiscard]] auto workers() const -> worker_directory const&;
 
 private:
-    /// Answers the jobs that came to their end.
-    auto settle(time_point now, effects& out) -> void;
+    /// Answers the jobs that came to their end, and begins those that waited
+    /// for it.
+    auto settle(time_point now, random_source& random, effects& out) -> void;
+    /// True if the job may have runs of another copy of it.
+    [[nodiscard]] auto must_ask(job_arrived const& request) const -> bool;
+    /// Takes a job whose other copies have no runs, joins it or refuses it.
+    /// `is_claimed` if an agent was told that this entry has it.
+    auto begin(time_point now, job_arrived const& request, bool is_claimed,
+               random_source& random, effects& out) -> void;
+    /// Another entry wants a job that may be in progress here.
+    auto yield(time_point now, node_id agent, std::string const& job_id,
+               effects& out) -> void;
     /// Answers a client for which the control group was asked.
     auto answer(control_request const& request, operate_result const& result,
                 effects& out) -> void;
@@ -85,8 +97,8 @@
         -> void;
     /// Takes a job, or refuses it because it would be late.
     auto take(time_point now, job_arrived const& request,
-              job_queue const& queue, random_source& random, effects& out)
-        -> void;
+              job_queue const& queue, bool is_claimed, random_source& random,
+              effects& out) -> void;
     /// Lets a caller wait for a job that is in progress here: its client lost
     /// the connection and sent it again.
     auto join(time_point now, job_arrived const& request, std::uint64_t job,
@@ -106,10 +118,12 @@
                 job_state state, effects& out) -> void;
 
     bool m_takes_durable_jobs = false;
+    std::string m_failure_domain;
     link_targets m_links;
     configuration_copy m_configuration;
     run_placer m_placer;
     control_requests m_requests;
+    job_claims m_claims;
     std::map<std::string, std::uint64_t, std::less<>> m_by_id;
     /// Jobs by the callers that wait for them, and the reverse.
     std::map<exchange_id, std::uint64_t> m_exchanges;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -25,6 +25,8 @@
 // Loads are sent at most this often, to all entries that are due, so that waits
 // are forecast once for all of them.
 constexpr auto load_turn = duration{std::chrono::milliseconds{10}};
+// From the decision to stop a run to its end: a worker takes up to 50 ms.
+constexpr auto stop_allowance = duration{std::chrono::milliseconds{100}};
 // A run that takes this much longer than expected makes no progress. Declared
 // run times are commonly wrong by a factor of 1.5.
 constexpr auto hang_factor = 4.0;
@@ -89,6 +91,9 @@
     if (peer.m_role != role::entry)
         return;
     open_contact(peer.m_node).m_address = peer.m_address;
+    // What was sent on an earlier link may be lost.
+    for (auto& job : m_claims.wanted_of(peer.m_node))
+        out.emplace_back(send{peer.m_node, yield_job{std::move(job)}});
     settle(now, out);
 }
 
@@ -239,11 +244,50 @@
         m_offers.take(from, declined->m_offer);
     else if (auto const* released = std::get_if<release_room>(&incoming))
         m_queue.release(from, released->m_job);
+    else if (auto const* claimed = std::get_if<claim_job>(&incoming))
+        return on(now, from, *claimed, out);
+    else if (auto const* yielded = std::get_if<job_yielded>(&incoming))
+    {
+        if (auto const next = m_claims.pass_on(from, yielded->m_job_id);
+            next != no_node)
+            out.emplace_back(
+                send{next, claim_answer{yielded->m_job_id, true, 0}});
+        return;
+    }
     else
         return;
     settle(now, out);
 }
 
+auto executor::on(time_point now, node_id from, claim_job const& wanted,
+                  effects& out) -> void
+{
+    auto const holder = m_claims.claim(now, from, wanted);
+    auto const stopped_at = runs_stopped_at(now, holder);
+    if (holder != no_node && stopped_at > now)
+    {
+        out.emplace_back(send{holder, yield_job{wanted.m_job_id}});
+        out.emplace_back(send{from, claim_answer{wanted.m_job_id, false,
+                                                 whole_ms(stopped_at - now)}});
+        return;
+    }
+    m_claims.pass_on(holder, wanted.m_job_id);
+    if (wanted.m_is_asking)
+        out.emplace_back(send{from, claim_answer{wanted.m_job_id, true, 0}});
+}
+
+auto executor::runs_stopped_at(time_point now, node_id entry) const
+    -> time_point
+{
+    auto const found = m_contacts.find(entry);
+    if (found == m_contacts.end())
+        return now;
+    auto const& contact = found->second;
+    auto const until =
+        contact.m_is_connected ? now + entry_contact_timeout : contact.m_until;
+    return until + stop_allowance;
+}
+
 auto executor::on(time_point now, node_id from, order_runs const& order,
                   effects& out) -> void
 {
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/agent_health.hpp"
 #include "core/model/effect.hpp"
+#include "core/placement/claim_table.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/load_pace.hpp"
@@ -154,6 +155,12 @@
     auto on(time_point now, node_id from, reserve_room const& wanted,
             effects& out) -> void;
     auto on(node_id from, lead_jobs const& news, effects& out) -> void;
+    auto on(time_point now, node_id from, claim_job const& wanted, effects& out)
+        -> void;
+    /// When the runs of an entry that does not answer have certainly been
+    /// stopped at agents which can be reached.
+    [[nodiscard]] auto runs_stopped_at(time_point now, node_id entry) const
+        -> time_point;
     /// A link to a process that orders runs is open.
     auto open_contact(node_id peer) -> contact&;
     /// Gives links up that are not needed any more, and opens others.
@@ -257,6 +264,7 @@
 
     run_queue m_queue;
     room_offers m_offers;
+    claim_table m_claims;
     live_runs m_live;
     contacts m_contacts;
     /// Highest term of a leader that made itself known. An earlier one has no
--- /dev/null
+++ b/src/core/placement/job_claims.cpp
@@ -0,0 +1,172 @@
+#include "core/placement/job_claims.hpp"
+
+#include "core/placement/log_fields.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorylatch::core
+{
+
+namespace
+{
+
+// An agent of the same failure domain answers within 2 ms. Without an answer
+// the job is begun: a client that sends it to a second process is rare, and one
+// that waits for an agent that was lost is not.
+constexpr auto answer_timeout = duration{std::chrono::milliseconds{40}};
+
+} // namespace
+
+auto job_claims::ask(time_point now, job_arrived const& request, node_id agent,
+                     duration client_wait, effects& out) -> void
+{
+    auto const& id = request.m_job.m_id;
+    auto const [found, is_new] = m_waiting.try_emplace(id);
+    auto& job = found->second;
+    job.m_requests.push_back(request);
+    if (!is_new)
+        return;
+    job.m_since = now;
+    job.m_until = now + answer_timeout;
+    job.m_is_granted = agent == no_node;
+    if (agent != no_node)
+        out.emplace_back(
+            send{agent, claim_job{id, true, whole_ms(client_wait)}});
+}
+
+auto job_claims::answered(time_point now, claim_answer const& answer,
+                          effects& out) -> void
+{
+    auto const found = m_waiting.find(answer.m_job_id);
+    if (found == m_waiting.end())
+    {
+        if (!answer.m_is_granted)
+            out.emplace_back(log_line{log_level::warning,
+                                      "job_begun_beside_another",
+                                      {{"job", answer.m_job_id}}});
+        return;
+    }
+    auto& job = found->second;
+    job.m_is_granted = answer.m_is_granted;
+    if (answer.m_is_granted)
+        return;
+    job.m_is_held = true;
+    job.m_until = now + std::chrono::milliseconds{answer.m_wait_ms};
+    out.emplace_back(log_line{log_level::info,
+                              "job_held_elsewhere",
+                              {{"job", answer.m_job_id},
+                               {"wait_ms", std::to_string(answer.m_wait_ms)}}});
+}
+
+auto job_claims::abandon(exchange_id exchange) -> void
+{
+    for (auto& [id, job] : m_waiting)
+        std::erase_if(job.m_requests,
+                      [exchange](job_arrived const& each)
+                      {
+                          return each.m_exchange == exchange;
+                      });
+    std::erase_if(m_waiting,
+                  [](auto const& each)
+                  {
+                      return each.second.m_requests.empty();
+                  });
+}
+
+auto job_claims::yield(node_id agent, std::string const& job_id, effects& out)
+    -> std::vector<job_arrived>
+{
+    auto given_up = std::vector<job_arrived>{};
+    if (auto const found = m_waiting.find(job_id); found != m_waiting.end())
+    {
+        given_up = std::move(found->second.m_requests);
+        m_waiting.erase(found);
+    }
+    if (is_retiring(job_id))
+        m_yields[job_id].insert(agent);
+    else
+        out.emplace_back(send{agent, job_yielded{job_id}});
+    return given_up;
+}
+
+auto job_claims::retire(std::string const& job_id, std::uint64_t number) -> void
+{
+    m_retiring[job_id].insert(number);
+    m_retiring_ids[number] = job_id;
+}
+
+auto job_claims::ended(std::uint64_t number, effects& out) -> void
+{
+    auto const known = m_retiring_ids.find(number);
+    if (known == m_retiring_ids.end())
+        return;
+    auto const id = std::move(known->second);
+    m_retiring_ids.erase(known);
+    auto const found = m_retiring.find(id);
+    found->second.erase(number);
+    if (!found->second.empty())
+        return;
+    m_retiring.erase(found);
+    auto const yields = m_yields.find(id);
+    if (yields == m_yields.end())
+        return;
+    for (auto const agent : yields->second)
+        out.emplace_back(send{agent, job_yielded{id}});
+    m_yields.erase(yields);
+}
+
+auto job_claims::take_ready(time_point now, effects& out)
+    -> std::vector<ready_request>
+{
+    auto ready = std::vector<ready_request>{};
+    for (auto each = m_waiting.begin(); each != m_waiting.end();)
+    {
+        auto& [id, job] = *each;
+        if ((!job.m_is_granted && now < job.m_until) || is_retiring(id))
+        {
+            ++each;
+            continue;
+        }
+        if (!job.m_is_granted)
+            out.emplace_back(
+                log_line{log_level::warning,
+                         "claim_unanswered",
+                         {{"job", id},
+                          {"held", job.m_is_held ? "yes" : "no"},
+                          {"waited_ms", ms_field(now - job.m_since)}}});
+        for (auto& request : job.m_requests)
+        {
+            request.m_may_have_run = request.m_may_have_run || job.m_is_held;
+            ready.push_back({std::move(request), now - job.m_since});
+        }
+        each = m_waiting.erase(each);
+    }
+    return ready;
+}
+
+auto job_claims::is_waiting(std::string_view job_id) const -> bool
+{
+    return m_waiting.contains(job_id);
+}
+
+auto job_claims::is_retiring(std::string_view job_id) const -> bool
+{
+    return m_retiring.contains(job_id);
+}
+
+auto job_claims::size() const -> std::size_t
+{
+    return m_waiting.size();
+}
+
+auto job_claims::next_deadline() const -> time_point
+{
+    auto first = never;
+    for (auto const& [id, job] : m_waiting)
+        if (!job.m_is_granted && !is_retiring(id))
+            first = std::min(first, job.m_until);
+    return first;
+}
+
+} // namespace hickorylatch::core
--- /dev/null
+++ b/src/core/placement/job_claims.hpp
@@ -0,0 +1,79 @@
+#ifndef HICKORYLATCH_CORE_PLACEMENT_JOB_CLAIMS_HPP
+#define HICKORYLATCH_CORE_PLACEMENT_JOB_CLAIMS_HPP
+
+#include "core/model/effect.hpp"
+#include "core/model/event.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorylatch::core
+{
+
+/// Jobs that an entry does not begin yet, because runs of them may be in
+/// progress: at another entry that had the job before, or here, where they are
+/// being stopped.
+class job_claims
+{
+public:
+    /// A request that may be served now.
+    struct ready_request
+    {
+        job_arrived m_request;
+        duration m_waited{0};
+    };
+
+    /// Lets the request wait until the agent has answered a claim that lasts
+    /// as long as the client waits; `no_node` if there is none to be asked.
+    auto ask(time_point now, job_arrived const& request, node_id agent,
+             duration client_wait, effects& out) -> void;
+    auto answered(time_point now, claim_answer const& answer, effects& out)
+        -> void;
+    /// The client of a waiting request has gone.
+    auto abandon(exchange_id exchange) -> void;
+    /// Another entry wants the job. The agent is told when no run of it is left
+    /// here. Returns the requests that waited here for the same job.
+    auto yield(node_id agent, std::string const& job_id, effects& out)
+        -> std::vector<job_arrived>;
+
+    /// Runs of the job with this number are being stopped.
+    auto retire(std::string const& job_id, std::uint64_t number) -> void;
+    /// These runs have ended.
+    auto ended(std::uint64_t number, effects& out) -> void;
+    /// Takes the requests that need not wait any longer.
+    auto take_ready(time_point now, effects& out) -> std::vector<ready_request>;
+
+    [[nodiscard]] auto is_waiting(std::string_view job_id) const -> bool;
+    [[nodiscard]] auto is_retiring(std::string_view job_id) const -> bool;
+    /// Jobs that wait.
+    [[nodiscard]] auto size() const -> std::size_t;
+    [[nodiscard]] auto next_deadline() const -> time_point;
+
+private:
+    struct waiting_job
+    {
+        std::vector<job_arrived> m_requests;
+        time_point m_since{0};
+        /// When it is begun without an answer.
+        time_point m_until{0};
+        bool m_is_granted = false;
+        /// Another entry has had the job.
+        bool m_is_held = false;
+    };
+
+    std::map<std::string, waiting_job, std::less<>> m_waiting;
+    std::map<std::string, std::set<std::uint64_t>, std::less<>> m_retiring;
+    std::map<std::uint64_t, std::string> m_retiring_ids;
+    /// Agents to be told when the runs of a job have ended.
+    std::map<std::string, std::set<node_id>, std::less<>> m_yields;
+};
+
+} // namespace hickorylatch::core
+
+#endif
--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -228,6 +228,15 @@
                                });
 }
 
+auto placed_job::has_runs() const -> bool
+{
+    return std::ranges::any_of(m_tasks,
+                               [](placed_task const& task)
+                               {
+                                   return task.m_state == task_state::placed;
+                               });
+}
+
 auto placed_job::ref(placed_task const& task) const -> run_ref
 {
     return {m_number, task.m_index, task.m_run};
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -104,6 +104,8 @@
     /// Agents that may hold a reservation.
     [[nodiscard]] auto reservations() const -> std::set<node_id>;
     [[nodiscard]] auto has_ready_tasks() const -> bool;
+    /// Some task has a run that may be in progress.
+    [[nodiscard]] auto has_runs() const -> bool;
     [[nodiscard]] auto ref(placed_task const& task) const -> run_ref;
 
 private:
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -99,7 +99,13 @@
     {
         auto const agent = m_going.begin()->second;
         m_going.erase(m_going.begin());
-        lose_runs(now, agent, random, out);
+        lose_runs(
+            now, agent, "no contact",
+            [](placed_job const&, placed_task const&)
+            {
+                return true;
+            },
+            random, out);
         m_agents.erase(agent);
         m_gone.push_back(agent);
     }
@@ -166,18 +172,57 @@
         carry_out(now, job, plan(now, job, random), out);
 }
 
-auto run_placer::remove(std::uint64_t number, effects& out) -> void
+auto run_placer::take_out(std::uint64_t number, effects& out)
+    -> live_jobs::node_type
 {
     auto const found = m_jobs.find(number);
     if (found == m_jobs.end())
-        return;
+        return {};
     withdraw(found->second, out);
     release(found->second, out);
     m_unplaced.erase(number);
     m_ended.erase(number);
+    return m_jobs.extract(found);
+}
+
+auto run_placer::forget(std::uint64_t number) -> void
+{
     for (auto& [agent, contact] : m_agents)
         contact.m_jobs.erase(number);
-    m_jobs.erase(found);
+}
+
+auto run_placer::remove(std::uint64_t number, effects& out) -> void
+{
+    if (take_out(number, out))
+        forget(number);
+}
+
+auto run_placer::retire(std::uint64_t number, effects& out) -> bool
+{
+    auto taken = take_out(number, out);
+    if (!taken)
+        return false;
+    if (!taken.mapped().has_runs())
+    {
+        forget(number);
+        return false;
+    }
+    m_retired.insert(std::move(taken));
+    return true;
+}
+
+auto run_placer::take_retired() -> std::vector<std::uint64_t>
+{
+    return std::exchange(m_retired_done, {});
+}
+
+auto run_placer::settle_retired(live_jobs::iterator job) -> void
+{
+    if (job->second.has_runs())
+        return;
+    m_retired_done.push_back(job->first);
+    forget(job->first);
+    m_retired.erase(job);
 }
 
 auto run_placer::take_outcomes() -> std::vector<placed_outcome>
@@ -243,30 +288,16 @@
             adopt(job->second, *task, from, run.m_run);
     }
     // Orders that were lost with an earlier link are not listed.
-    auto const jobs = found->second.m_jobs;
-    for (auto const number : jobs)
-    {
-        auto const job = m_jobs.find(number);
-        if (job == m_jobs.end())
-            continue;
-        auto is_changed = false;
-        for (auto& task : job->second.tasks())
+    lose_runs(
+        now, from, "order lost with its link",
+        [&](placed_job const& job, placed_task const& task)
         {
-            auto const ref = job->second.ref(task);
-            auto const is_lost =
-                task.m_state == task_state::placed && task.m_agent == from &&
-                (task.m_order <= news.m_order ||
-                 task.m_order > m_workers.last_order(from)) &&
-                std::ranges::find(news.m_runs, ref) == news.m_runs.end();
-            if (!is_lost)
-                continue;
-            lose_run(job->second, task, "order lost with its link",
-                     now - found->second.m_confirmed_at, out);
-            is_changed = true;
-        }
-        if (is_changed)
-            carry_on(now, job->first, random, out);
-    }
+            return (task.m_order <= news.m_order ||
+                    task.m_order > m_workers.last_order(from)) &&
+                   std::ranges::find(news.m_runs, job.ref(task)) ==
+                       news.m_runs.end();
+        },
+        random, out);
 }
 
 auto run_placer::on(time_point now, node_id from, worker_load const& load,
@@ -331,6 +362,15 @@
 auto run_placer::take_end(time_point now, node_id agent, run_end const& end,
                           random_source& random, effects& out) -> bool
 {
+    if (auto const gone = m_retired.find(end.m_run.m_job);
+        gone != m_retired.end())
+    {
+        auto* const ended = gone->second.find(end.m_run.m_task);
+        if (ended != nullptr && is_run(*ended, agent, end.m_run))
+            gone->second.came_back(*ended);
+        settle_retired(gone);
+        return false;
+    }
     auto const job = m_jobs.find(end.m_run.m_job);
     if (job == m_jobs.end() || m_ended.contains(job->first))
         return false;
@@ -492,21 +532,35 @@
         out.emplace_back(send{agent, std::move(order)});
 }
 
-auto run_placer::lose_runs(time_point now, node_id agent, random_source& random,
-                           effects& out) -> void
+template <class Predicate>
+auto run_placer::lose_runs(time_point now, node_id agent,
+                           std::string_view cause, Predicate is_lost,
+                           random_source& random, effects& out) -> void
 {
-    auto& contact = m_agents.at(agent);
-    auto const jobs = std::exchange(contact.m_jobs, {});
+    auto const& contact = m_agents.at(agent);
+    auto const silence = now - contact.m_confirmed_at;
+    // Jobs leave the set as they are settled.
+    auto const jobs = contact.m_jobs;
     for (auto const number : jobs)
     {
-        auto const job = m_jobs.find(number);
-        if (job == m_jobs.end())
+        auto const retired = m_retired.find(number);
+        auto const is_retired = retired != m_retired.end();
+        auto const job = is_retired ? retired : m_jobs.find(number);
+        if (!is_retired && job == m_jobs.end())
             continue;
+        auto is_changed = false;
         for (auto& task : job->second.tasks())
-            if (task.m_state == task_state::placed && task.m_agent == agent)
-                lose_run(job->second, task, "no contact",
-                         now - contact.m_confirmed_at, out);
-        carry_on(now, job->first, random, out);
+        {
+            if (task.m_state != task_state::placed || task.m_agent != agent ||
+                !is_lost(job->second, task))
+                continue;
+            lose_run(job->second, task, cause, silence, out);
+            is_changed = true;
+        }
+        if (is_retired)
+            settle_retired(retired);
+        else if (is_changed)
+            carry_on(now, number, random, out);
     }
 }
 
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -99,6 +99,11 @@
                   effects& out) -> void;
     /// Takes back what the job has at agents, and forgets it.
     auto remove(std::uint64_t job, effects& out) -> void;
+    /// The same, but follows its runs until they have ended. False if it has
+    /// none.
+    auto retire(std::uint64_t job, effects& out) -> bool;
+    /// Retired jobs whose runs have ended since the last call.
+    [[nodiscard]] auto take_retired() -> std::vector<std::uint64_t>;
     /// Jobs that came to their end since the last call. They stay until they
     /// are removed, and nothing more of them is placed.
     [[nodiscard]] auto take_outcomes() -> std::vector<placed_outcome>;
@@ -150,13 +155,21 @@
     [[nodiscard]] auto load_interval() const -> duration;
     auto send_order(placed_job& job, node_id agent, order_runs&& order,
                     effects& out) -> void;
-    auto lose_runs(time_point now, node_id agent, random_source& random,
-                   effects& out) -> void;
+    /// Gives up the runs at an agent that are lost.
+    template <class Predicate>
+    auto lose_runs(time_point now, node_id agent, std::string_view cause,
+                   Predicate is_lost, random_source& random, effects& out)
+        -> void;
     /// A run has certainly ended, or never started, without a word of its end.
     auto lose_run(placed_job& job, placed_task& task, std::string_view cause,
                   duration silence, effects& out) -> void;
     auto conclude(placed_job const& job, bool is_complete) -> void;
     auto withdraw(placed_job const& job, effects& out) -> void;
+    /// Takes back what the job has at agents, and takes it out of the others.
+    auto take_out(std::uint64_t job, effects& out) -> live_jobs::node_type;
+    auto forget(std::uint64_t job) -> void;
+    /// Forgets the job if its last run has ended.
+    auto settle_retired(live_jobs::iterator job) -> void;
     auto release(placed_job& job, effects& out) -> void;
     /// All tasks of the job that may start have a worker.
     auto note_placed(time_point now, placed_job& job, effects& out) -> void;
@@ -172,6 +185,9 @@
     std::set<std::pair<time_point, node_id>> m_going;
     std::vector<node_id> m_gone;
     live_jobs m_jobs;
+    /// Jobs that were given up while runs of them were in progress.
+    live_jobs m_retired;
+    std::vector<std::uint64_t> m_retired_done;
     std::vector<placed_outcome> m_outcomes;
     /// Jobs of these outcomes that are not removed yet.
     std::set<std::uint64_t> m_ended;
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -1,9 +1,12 @@
 #include "core/placement/worker_directory.hpp"
 
+#include "core/model/stable_hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <numeric>
+#include <tuple>
 
 namespace hickorylatch::core
 {
@@ -327,4 +330,20 @@
     return m_workers.size();
 }
 
+auto worker_directory::claim_agent(std::string_view job_id,
+                                   std::string_view failure_domain) const
+    -> node_id
+{
+    auto best = std::tuple{false, std::uint64_t{0}, no_node};
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (!worker.m_is_announced)
+            continue;
+        auto const is_near = worker.m_news.m_failure_domain == failure_domain;
+        auto const weight = stable_hash(job_id, worker.m_news.m_worker.m_name);
+        best = std::max(best, std::tuple{is_near, weight, agent});
+    }
+    return std::get<node_id>(best);
+}
+
 } // namespace hickorylatch::core
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -98,6 +98,12 @@
     [[nodiscard]] auto load_age(time_point now, node_id agent) const
         -> duration;
     [[nodiscard]] auto size() const -> std::size_t;
+    /// The agent at which entries claim the job, the same for all entries that
+    /// know the same agents of their failure domain; others are chosen only if
+    /// it has none. `no_node` if no agent is known.
+    [[nodiscard]] auto claim_agent(std::string_view job_id,
+                                   std::string_view failure_domain) const
+        -> node_id;
 
 private:
     /// A run that was ordered and is not in the last load.
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -36,6 +36,8 @@
     std::string m_body;
     /// Remote address as ip:port.
     std::string m_remote;
+    /// No other request came on its connection before.
+    bool m_is_first = false;
 };
 
 /// A whole answer as it arrived at a client.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -367,6 +367,7 @@
     event_add(exchange->m_closed.get(), nullptr);
     auto arrived = to_request(request);
     arrived.m_exchange = exchange->m_id;
+    arrived.m_is_first = state.m_exchange == 0;
     state.m_exchange = exchange->m_id;
     m_exchanges.emplace(exchange->m_id, std::move(exchange));
     // A client whose connection was reset sends its request to another server
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -277,8 +277,8 @@
     {
         m_node.m_address = advertised(*wanted);
         m_node.m_broker.emplace(core::broker_settings{
-            m_settings.m_name, seeds, to_placer(wanted->m_placement),
-            wanted->m_takes_durable_jobs});
+            m_settings.m_name, seeds, m_settings.m_failure_domain,
+            to_placer(wanted->m_placement), wanted->m_takes_durable_jobs});
     }
     if (auto const& wanted = m_settings.m_executor)
         m_node.m_executor.emplace(core::executor_settings{
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -169,8 +169,23 @@
 auto placement_world::submit(std::string const& entry, std::string const& queue,
                              core::step_job job, core::duration client_wait)
     -> core::exchange_id
+{
+    return post(entry, queue, std::move(job), client_wait, false);
+}
+
+auto placement_world::resubmit(std::string const& entry,
+                               std::string const& queue, core::step_job job,
+                               core::duration client_wait) -> core::exchange_id
+{
+    return post(entry, queue, std::move(job), client_wait, true);
+}
+
+auto placement_world::post(std::string const& entry, std::string const& queue,
+                           core::step_job job, core::duration client_wait,
+                           bool may_be_resent) -> core::exchange_id
 {
     auto request = core::job_arrived{};
+    request.m_may_be_resent = may_be_resent;
     request.m_exchange = ++m_last_exchange;
     request.m_host = "desk.example";
     request.m_path = "/" + queue + "/" + job.m_id;
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -64,6 +64,10 @@
     auto submit(std::string const& entry, std::string const& queue,
                 core::step_job job, core::duration client_wait)
         -> core::exchange_id;
+    /// The same for a job that its client may have sent to another entry.
+    auto resubmit(std::string const& entry, std::string const& queue,
+                  core::step_job job, core::duration client_wait)
+        -> core::exchange_id;
     auto abandon(core::exchange_id exchange) -> void;
     auto run_for(core::duration span) -> void;
     /// Runs until the job is answered; false if it is not within the span.
@@ -147,6 +151,9 @@
 
     using link_key = std::pair<core::node_id, core::node_id>;
 
+    auto post(std::string const& entry, std::string const& queue,
+              core::step_job job, core::duration client_wait,
+              bool may_be_resent) -> core::exchange_id;
     auto at(core::time_point when, std::function<void()> action) -> void;
     auto after(core::duration delay, std::function<void()> action) -> void;
     auto connect(std::string const& entry, std::string const& worker) -> void;
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -41,6 +41,12 @@
     BOOST_TEST(world.overloads() == 0U);
 }
 
+/// A job of two tasks that take 200 ms.
+auto make_pair_job(std::string id) -> core::step_job
+{
+    return make_job(std::move(id), 2, milliseconds{200}, milliseconds{200});
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_job_is_answered_when_its_last_task_ends)
@@ -421,6 +427,101 @@
     check_promises(*world);
 }
 
+// Guards against tasks that run twice at the same time, because their job came
+// to a second entry while the first one did not see its caller go (TWICE).
+BOOST_AUTO_TEST_CASE(a_job_at_two_entries_runs_once_at_a_time)
+{
+    auto world = make_world();
+    auto later = std::vector<core::exchange_id>{};
+    for (auto number = 0; number < 40; ++number)
+    {
+        auto const job = make_pair_job("d" + std::to_string(number));
+        world->submit("e1", "fast", job, milliseconds{1'500});
+        world->run_for(milliseconds{8});
+        later.push_back(
+            world->resubmit("e2", "fast", job, milliseconds{1'500}));
+        world->run_for(milliseconds{60});
+    }
+    world->run_for(seconds{3});
+    for (auto const exchange : later)
+        BOOST_TEST(is_completed(*world, exchange));
+    check_promises(*world);
+}
+
+// Guards against a job that begins anew while runs of it are being stopped:
+// its caller was noticed to have gone, and has sent it again (TWICE).
+BOOST_AUTO_TEST_CASE(an_abandoned_job_begins_anew_after_its_runs_have_ended)
+{
+    for (auto const* second : {"e1", "e2"})
+    {
+        auto world = make_world();
+        auto const first = world->submit("e1", "fast", make_pair_job("a"),
+                                         milliseconds{1'500});
+        world->run_for(milliseconds{20});
+        world->abandon(first);
+        auto const again = world->resubmit(second, "fast", make_pair_job("a"),
+                                           milliseconds{1'500});
+        BOOST_TEST(world->run_until_answered(again, seconds{2}));
+        BOOST_TEST(is_completed(*world, again));
+        BOOST_TEST(world->answer(again)->m_age < milliseconds{320});
+        check_promises(*world);
+    }
+}
+
+// Guards against runs beside those of an entry that was cut off or lost with
+// its caller: they go on until its agents have given it up.
+BOOST_AUTO_TEST_CASE(a_job_of_a_lost_entry_begins_after_its_runs_were_stopped)
+{
+    auto world = make_world();
+    world->submit("e1", "fast", make_pair_job("l"), milliseconds{1'500});
+    world->run_for(milliseconds{20});
+    world->kill_entry("e1");
+    auto const again =
+        world->resubmit("e2", "fast", make_pair_job("l"), milliseconds{1'500});
+    BOOST_TEST(world->run_until_answered(again, seconds{2}));
+    BOOST_TEST(is_completed(*world, again));
+    check_promises(*world);
+}
+
+// Guards against a false "not run" for a job that another entry had.
+BOOST_AUTO_TEST_CASE(a_job_that_another_entry_had_may_have_run)
+{
+    auto world = make_world();
+    world->submit("e1", "fast", make_pair_job("m"), milliseconds{1'500});
+    world->run_for(milliseconds{20});
+    world->kill_entry("e1");
+    auto const again =
+        world->resubmit("e2", "fast", make_pair_job("m"), milliseconds{1'500});
+    world->run_for(milliseconds{20});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e2", name, true);
+    BOOST_TEST(world->run_until_answered(again, seconds{2}));
+    BOOST_TEST((world->answer(again)->m_verdict.m_run ==
+                core::run_state::may_have_run));
+}
+
+// Guards against requests that wait for an agent which does not answer.
+BOOST_AUTO_TEST_CASE(a_claim_without_an_answer_holds_up_a_job_only_shortly)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e2", name, true);
+    world->run_for(milliseconds{100});
+    for (auto const* name : {"w1", "w2"})
+        world->cut("e2", name, false);
+    world->run_for(milliseconds{20});
+    for (auto number = 0; number < 12; ++number)
+    {
+        auto const job =
+            world->resubmit("e2", "fast", make_pair_job(std::to_string(number)),
+                            milliseconds{1'500});
+        BOOST_TEST(world->run_until_answered(job, seconds{2}));
+        BOOST_TEST(is_completed(*world, job));
+        BOOST_TEST(world->answer(job)->m_age < milliseconds{280});
+    }
+    check_promises(*world);
+}
+
 // Guards against runs that go on although their client has left.
 BOOST_AUTO_TEST_CASE(runs_of_an_abandoned_job_are_stopped)
 {
