Take back the runs of given-up jobs on each new link to their agent

Callers saw: a task ran beside another run of it. Resets hit a client's connection and the links to agents together, so the message that takes runs back is lost with the link; an entry forgot the job at once, and its runs went on to their end.

Cause: a withdrawal was sent once, and an announcement on the next link, which lists the run, was not compared with it.

Change: runs that an agent announces for a job which was given up are taken back again.

runs_are_taken_back_again_on_a_new_link failed first: 6 runs went on at three workers 170 ms after their client had gone; now 0.

--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -3,6 +3,7 @@
 #include "core/placement/log_fields.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -287,6 +288,15 @@
         if (task != nullptr && task->m_state == task_state::in_doubt)
             adopt(job->second, *task, from, run.m_run);
     }
+    // What took these runs back was lost with an earlier link.
+    auto unwanted = withdraw_runs{};
+    std::ranges::copy_if(news.m_runs, std::back_inserter(unwanted.m_runs),
+                         [this](run_ref const& run)
+                         {
+                             return m_retired.contains(run.m_job);
+                         });
+    if (!unwanted.m_runs.empty())
+        out.emplace_back(send{from, std::move(unwanted)});
     // Orders that were lost with an earlier link are not listed.
     lose_runs(
         now, from, "order lost with its link",
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -468,6 +468,27 @@
     }
 }
 
+// Guards against runs that go on because the link on which they were taken back
+// was reset together with the connection of their client.
+BOOST_AUTO_TEST_CASE(runs_are_taken_back_again_on_a_new_link)
+{
+    auto world = make_world();
+    auto const job = world->submit(
+        "e1", "slow", make_job("r", 6, milliseconds{900}, milliseconds{900}),
+        seconds{20});
+    world->run_for(milliseconds{100});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e1", name, true);
+    world->abandon(job);
+    world->run_for(milliseconds{20});
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->cut("e1", name, false);
+    world->run_for(milliseconds{150});
+    for (auto const* name : {"w1", "w2", "w3"})
+        BOOST_TEST(world->worker(name).running() == 0U);
+    check_promises(*world);
+}
+
 // Guards against runs beside those of an entry that was cut off or lost with
 // its caller: they go on until its agents have given it up.
 BOOST_AUTO_TEST_CASE(a_job_of_a_lost_entry_begins_after_its_runs_were_stopped)
