--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -439,7 +439,12 @@
     m_claims.abandon(exchange);
     auto const found = m_exchanges.find(exchange);
     if (found == m_exchanges.end())
+    {
+        out.emplace_back(log_line{log_level::info,
+                                  "caller_gone_before_begin",
+                                  {{"exchange", std::to_string(exchange)}}});
         return;
+    }
     auto const job = found->second;
     auto& callers = m_callers.at(job);
     std::erase(callers, exchange);
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -388,8 +388,16 @@
                 return each.second.m_job->m_entry == from &&
                        each.second.m_ref == wanted;
             });
-        if (found != m_live.end())
-            order_stop(now, *found, out);
+        if (found == m_live.end())
+            continue;
+        out.emplace_back(
+            log_line{log_level::info,
+                     "run_withdrawn",
+                     {{"run", run_field(found->first.first, found->first.second,
+                                        found->second.m_number)},
+                      {"entry", node_field(from)},
+                      {"ran_ms", ms_field(now - found->second.m_started_at)}}});
+        order_stop(now, *found, out);
     }
     m_is_load_changed = true;
 }
