review: show tasks that run twice after a minion's restart

An agent that does not notice the crash of an idle minion starts a task on its next life and then reports the run as lapsed at once.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -119,20 +119,34 @@
         self.last_end = 0
         self.end_added = asyncio.Event()
         self.state = "ready"
+        self.server = None
+        self.writers = set()
         # Rows of task, run, begin, end (None while it runs) and how it ended.
         self.runs = []
         self.tasks = []
 
-    async def start(self):
+    async def start(self, first_beat_s=0.0):
         self.server = await asyncio.start_server(self.serve, self.ip, APP_PORT,
                                                  backlog=256)
-        self.tasks = [asyncio.create_task(self.beat()),
+        self.tasks = [asyncio.create_task(self.beat(first_beat_s)),
                       asyncio.create_task(self.expire())]
 
     async def stop(self):
         for task in self.tasks:
             task.cancel()
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
+
+    async def crash(self):
+        """Ends this life: nothing runs and all connections are reset."""
+        await self.stop()
+        self.record.write(f"{self.name} crashes")
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for run in self.running.values():
+            run["timer"].cancel()
+            run["row"].update(end=self.record.now(), how="crashed")
+        self.running.clear()
 
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * 1000) + 1000
@@ -146,7 +160,8 @@
                 "labels": ["a", "r1-1"], "sequence": self.sequence,
                 "born": self.born}
 
-    async def beat(self):
+    async def beat(self, first_beat_s):
+        await asyncio.sleep(first_beat_s)
         while True:
             status, _ = await exchange(self.ip, CONTROL_PORT, "PUT",
                                        f"/api/instances/{self.name}",
@@ -166,6 +181,7 @@
                 deadline_ms, self.clock_ms() + MAX_HOLD_MS))
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 first, headers, body = message
@@ -179,6 +195,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, path, headers, request):
@@ -304,7 +321,7 @@
 
     def __init__(self, record, edges=3, sides=4, millicores=16000):
         self.record = record
-        self.group = self.find_group()
+        self.group, self.reservation = self.reserve_group()
         self.folder = tempfile.mkdtemp(prefix="review-")
         zones = ["muscat-a", "sohar-b", "nizwa-c"]
         self.zones = zones
@@ -325,16 +342,19 @@
                                        millicores))
 
     @staticmethod
-    def find_group():
-        """A group of loopback addresses that nobody uses."""
+    def reserve_group():
+        """A group of loopback addresses that nobody uses, and the socket that
+        reserves it."""
         for group in range(20, 250):
+            reservation = socket.socket()
             try:
+                reservation.bind((f"127.{group}.3.1", LINK_PORT))
                 for port in (LINK_PORT, CLIENTS_PORT, CONTROL_PORT):
                     with socket.socket() as probe:
                         probe.bind((f"127.{group}.1.1", port))
-                return group
+                return group, reservation
             except OSError:
-                continue
+                reservation.close()
         raise CannotRun("no group of loopback addresses is free")
 
     def seeds(self):
@@ -438,6 +458,7 @@
             process.kill()
         for minion in self.minions:
             await minion.stop()
+        self.reservation.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder, file=sys.stderr)
         else:
@@ -451,14 +472,14 @@
     """Pairs of runs of one task that ran at the same time, with the length of
     the overlap in seconds."""
     pairs = []
-    for index, first in enumerate(runs):
-        for second in runs[index + 1:]:
-            if first["task"] != second["task"]:
-                continue
+    earlier = {}
+    for second in sorted(runs, key=lambda run: run["begin"]):
+        for first in earlier.setdefault(second["task"], []):
             begin = max(first["begin"], second["begin"])
             end = min(first["end"] or now, second["end"] or now)
             if end > begin:
                 pairs.append((first, second, end - begin))
+        earlier[second["task"]].append(second)
     return pairs
 
 
