--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -321,8 +321,11 @@
 
     def __init__(self, record, edges=3, sides=4, millicores=16000):
         self.record = record
-        self.group, self.reservation = self.reserve_group()
+        self.group, self.reservation = self.reserve_group(edges, sides)
         self.folder = tempfile.mkdtemp(prefix="review-")
+        # Of the only route.
+        self.timeout_ms = 20000
+        self.slack_factor = 1.6
         zones = ["muscat-a", "sohar-b", "nizwa-c"]
         self.zones = zones
         self.entries, self.controls, self.agents, self.minions = [], [], [], []
@@ -342,16 +345,23 @@
                                        millicores))
 
     @staticmethod
-    def reserve_group():
+    def reserve_group(edges, sides):
         """A group of loopback addresses that nobody uses, and the socket that
         reserves it."""
         for group in range(20, 250):
             reservation = socket.socket()
             try:
                 reservation.bind((f"127.{group}.3.1", LINK_PORT))
-                for port in (LINK_PORT, CLIENTS_PORT, CONTROL_PORT):
+                used = [(f"127.{group}.1.{number}", port)
+                        for number in range(1, max(edges, 9) + 1)
+                        for port in (LINK_PORT, LINK_PORT + 1, CLIENTS_PORT,
+                                     CONTROL_PORT)]
+                used += [(f"127.{group}.2.{number}", port)
+                         for number in range(1, max(sides, 9) + 1)
+                         for port in (APP_PORT, CONTROL_PORT)]
+                for address in used:
                     with socket.socket() as probe:
-                        probe.bind((f"127.{group}.1.1", port))
+                        probe.bind(address)
                 return group, reservation
             except OSError:
                 reservation.close()
@@ -423,15 +433,15 @@
         await asyncio.sleep(settle_s)
         self.record.write("the deployment is ready")
 
-    @staticmethod
-    def config(version, service=SERVICE, timeout_ms=20000):
+    def config(self, version, timeout_ms=None):
         return {"version": version,
                 "routes": [{"name": "r-work", "host": HOST,
                             "pathPrefix": PREFIX, "type": "non_idempotent",
-                            "timeoutMs": timeout_ms, "targetLatencyMs": 60,
-                            "priority": 0, "service": service, "retries": 3,
-                            "slackFactor": 1.6}],
-                "services": [{"name": service, "healthPath": "/health",
+                            "timeoutMs": timeout_ms or self.timeout_ms,
+                            "targetLatencyMs": 60,
+                            "priority": 0, "service": SERVICE, "retries": 3,
+                            "slackFactor": self.slack_factor}],
+                "services": [{"name": SERVICE, "healthPath": "/health",
                               "maxConnections": 64, "protocol": "h1",
                               "tls": False, "enforcesCapacity": False,
                               "standby": False}],
