--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -493,6 +493,13 @@
     return pairs
 
 
+async def run_case(case, record, has_trouble):
+    task = asyncio.current_task()
+    # Also ends the processes if the script is told to stop.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(case(record, has_trouble), 110)
+
+
 def main(case, folder):
     """Runs `case(record, has_trouble)`, which returns True if the rule was
     broken. Exits with 1 if it was, 0 if it held and 2 if it couldn't run."""
@@ -500,9 +507,9 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
     try:
-        is_broken = asyncio.run(asyncio.wait_for(case(record, has_trouble),
-                                                 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        is_broken = asyncio.run(run_case(case, record, has_trouble))
+    except (CannotRun, OSError, asyncio.TimeoutError,
+            asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         sys.exit(2)
     record.write("the rule was broken" if is_broken else "the rule held")
