Number forwarded operations differently in each process of a replica

Cause: pending_operations numbered the operations that a replica passes to the leader from 1 in each process, while the node id of the replica stays on its disk. The leader addresses results by node id and number. After a restart of the replica the result of the earlier process's operation 1 was taken for that of the new operation 1, which was answered and dropped before it was forwarded.

Change: the numbers begin at a random number. A result for an earlier process matches nothing and is ignored; a caller of that process has lost its connection and asks again. This covers all forwarded operations, reads included.

--- a/benchmarks/benchmark_leader.cpp
+++ b/benchmarks/benchmark_leader.cpp
@@ -151,7 +151,7 @@
 {
     m_random.seed(1);
     m_control.clock(m_now, {wall_clock_time}, m_effects);
-    m_control.start(m_now, 1, m_effects);
+    m_control.start(m_now, m_random, m_effects);
     m_control.arrived(m_now, {1, core::bootstrap_control_group{1}}, m_random,
                       m_effects);
     execute_effects();
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -53,9 +53,10 @@
     return {now, m_wall_clock, m_replica, m_state, random, out};
 }
 
-auto control::start(time_point now, std::uint64_t seed, effects& out) -> void
+auto control::start(time_point now, random_source& random, effects& out) -> void
 {
-    m_replica.start(now, seed, out);
+    m_pending.start(random.number());
+    m_replica.start(now, random.number(), out);
 }
 
 auto control::connected(time_point now, hello const& peer,
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -40,7 +40,7 @@
             recovered_state const& recovered, image_codec codec,
             std::string address, group_settings const& group = {});
 
-    auto start(time_point now, std::uint64_t seed, effects& out) -> void;
+    auto start(time_point now, random_source& random, effects& out) -> void;
     auto connected(time_point now, hello const& peer, random_source& random,
                    effects& out) -> void;
     auto disconnected(time_point now, node_id peer, random_source& random,
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -25,7 +25,7 @@
         if (m_node.m_broker)
             m_node.m_broker->start(m_now);
         if (m_node.m_control)
-            m_node.m_control->start(m_now, m_node.m_random.number(), m_out);
+            m_node.m_control->start(m_now, m_node.m_random, m_out);
         // A leader serves the entry or agent in its own process, too.
         if (m_node.m_control && (m_node.m_entry || m_node.m_agent))
             (*this)(peer_connected{make_hello(m_node)});
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -37,6 +37,11 @@
 
 } // namespace
 
+auto pending_operations::start(std::uint64_t first_number) -> void
+{
+    m_last_number = first_number;
+}
+
 auto pending_operations::accepts(operation const& requested) -> bool
 {
     return std::holds_alternative<install_configuration>(requested) ||
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -34,6 +34,10 @@
 class pending_operations
 {
 public:
+    /// Numbers the operations from a random number on. A replica keeps its node
+    /// id on disk, so the leader may answer a request of an earlier process of
+    /// this replica.
+    auto start(std::uint64_t first_number) -> void;
     /// True for the operations that this class handles.
     [[nodiscard]] static auto accepts(operation const& requested) -> bool;
 
--- a/tests/core/roles/test_founding.cpp
+++ b/tests/core/roles/test_founding.cpp
@@ -65,7 +65,7 @@
     auto random = core::random_source{};
     random.seed(7);
     auto out = core::effects{};
-    first_replica.start(milliseconds{1}, 7, out);
+    first_replica.start(milliseconds{1}, random, out);
     first_replica.connected(milliseconds{2}, control_hello(2, "b:1"), random,
                             out);
     BOOST_TEST(bootstrapped_groups(out).empty());
