Ask the worker before a report of another worker or incarnation counts

Cause: the executor took a readable report with another name or a later start time for a new incarnation, and that for the end of all runs. Nothing asked the worker. A delayed report after a clock step and a delayed departure took the same way; a damaged report under the worker's own identity could set its service, capacity, clock or sequence number, after which its own reports looked outdated.

Change: a report of another name or incarnation is checked with a poll on a new connection (unconfirmed_worker); the worker's answer confirms or refutes it, and until then nothing changes. The first list of a confirmed incarnation decides which runs continue. A departure stops new work, and runs end by lists or their lease. Reports of the served incarnation that change what it can't change are ignored unless no other report comes for 5 s. Answers for another incarnation change neither runs nor the clock. Polls of a worker that refuses connections are spaced out, as after a departure they would follow each other in a loop.

Soak: a fault sends 16 kinds of reports that do not come from the worker. The simulated worker closes its connections when it crashes, as the connections of a process end with it.

--- a/src/core/model/effect.hpp
+++ b/src/core/model/effect.hpp
@@ -130,6 +130,8 @@
     /// Generation of this agent. A worker rejects orders with a lower token
     /// than the highest it has seen.
     std::uint64_t m_fencing_token = 0;
+    /// Incarnation that the order is for; no other one gets it. 0 if unknown.
+    std::int64_t m_incarnation = 0;
 };
 
 /// Orders the worker of this agent to start a run. `run_start_answered`
@@ -166,6 +168,13 @@
     std::uint32_t m_wait_ms = 0;
 };
 
+/// Asks for the identity of the worker that can be reached now, on a new
+/// connection. `worker_checked` follows.
+struct check_worker
+{
+    worker_target m_target;
+};
+
 /// Closes callers' connections that have no request in progress, so that the
 /// callers connect to another process.
 struct close_idle_callers
@@ -228,11 +237,12 @@
 {
 };
 
-using effect = std::variant<send, send_copies, append_log, save_snapshot, reply,
-                            reply_operator, start_call, cancel_call, set_timer,
-                            keep_links, log_line, record_span, observe_metric,
-                            exit_process, answer_job, answer_pending_count,
-                            start_run, stop_run, poll_runs, close_idle_callers>;
+using effect =
+    std::variant<send, send_copies, append_log, save_snapshot, reply,
+                 reply_operator, start_call, cancel_call, set_timer, keep_links,
+                 log_line, record_span, observe_metric, exit_process,
+                 answer_job, answer_pending_count, start_run, stop_run,
+                 poll_runs, close_idle_callers, check_worker>;
 
 using effects = std::vector<effect>;
 
--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -163,10 +163,12 @@
     late,           ///< Rejected: the lease in the order had expired.
     no_room,        ///< Rejected: it enforces its capacity and is full.
     unhealthy,      ///< It is unhealthy and did not execute the order.
-    other_lifetime, ///< Another incarnation answered and did nothing.
+    other_lifetime, ///< A worker of another name answered and did nothing.
     invalid,        ///< It could not parse the order.
     unreachable,    ///< The order was never sent.
-    unknown         ///< No answer; the order may still be executed later.
+    unknown,        ///< No answer; the order may still be executed later.
+    restarted       ///< Another incarnation of the worker can be reached. The
+                    ///< order was never sent.
 };
 
 [[nodiscard]] auto to_string(worker_answer answer) -> std::string_view;
@@ -178,6 +180,8 @@
     worker_answer m_answer = worker_answer::unknown;
     /// The worker's clock in milliseconds; 0 if the answer has none.
     std::int64_t m_clock_ms = 0;
+    /// Incarnation that the order was for; 0 if unknown.
+    std::int64_t m_incarnation = 0;
 };
 
 /// A worker answered `stop_run`.
@@ -186,6 +190,17 @@
     worker_run m_run;
     worker_answer m_answer = worker_answer::unknown;
     std::int64_t m_clock_ms = 0;
+    std::int64_t m_incarnation = 0;
+};
+
+/// A worker answered `check_worker`.
+struct worker_checked
+{
+    /// Name and incarnation that the check was for.
+    std::string m_name;
+    std::int64_t m_incarnation = 0;
+    worker_answer m_answer = worker_answer::unknown;
+    std::int64_t m_clock_ms = 0;
 };
 
 /// A run that has ended at a worker.
@@ -228,12 +243,14 @@
     std::vector<std::string> m_seeds;
 };
 
-using event = std::variant<
-    started, timer_fired, process_resumed, peer_connected, peer_disconnected,
-    message_received, log_synced, snapshot_saved, request_arrived,
-    request_abandoned, operation_arrived, call_finished, stop_requested,
-    clock_read, job_arrived, job_query_arrived, worker_reported, worker_left,
-    run_start_answered, run_stop_answered, runs_polled, seeds_changed>;
+using event =
+    std::variant<started, timer_fired, process_resumed, peer_connected,
+                 peer_disconnected, message_received, log_synced,
+                 snapshot_saved, request_arrived, request_abandoned,
+                 operation_arrived, call_finished, stop_requested, clock_read,
+                 job_arrived, job_query_arrived, worker_reported, worker_left,
+                 run_start_answered, run_stop_answered, runs_polled,
+                 worker_checked, seeds_changed>;
 
 } // namespace hickorylatch::core
 
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -47,6 +47,15 @@
 // arrive within this time.
 constexpr auto link_release_delay = duration{std::chrono::milliseconds{300}};
 
+// One incarnation of a worker keeps its service, capacity and labels and counts
+// its reports. A report that differs may be damaged or come from another
+// process. It is accepted only if no other report has arrived for this time.
+constexpr auto report_silence = duration{std::chrono::seconds{5}};
+constexpr auto sequence_step_limit = std::uint64_t{1'000};
+// A worker's clock is never faster than this process's clock; the rest allows
+// for a suspension of this process.
+constexpr auto clock_lead_limit = duration{std::chrono::seconds{2}};
+
 auto to_milliseconds(duration value) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -469,27 +478,78 @@
 auto executor::reported(time_point now, worker_report const& report,
                         effects& out) -> void
 {
-    auto const is_same = m_worker && m_worker->m_name == report.m_name &&
-                         m_worker->m_incarnation == report.m_incarnation;
-    if (m_worker && !is_same)
+    if (is_served(report.m_name, report.m_incarnation))
+        update_worker(now, report, out);
+    else
+        m_unconfirmed.reported(now, report);
+    process_pending(now, out);
+}
+
+auto executor::is_served(std::string_view name, std::int64_t incarnation) const
+    -> bool
+{
+    return m_worker && m_worker->m_name == name &&
+           m_worker->m_incarnation == incarnation;
+}
+
+auto executor::is_outdated(std::int64_t incarnation) const -> bool
+{
+    return !m_worker ||
+           (incarnation != 0 && incarnation != m_worker->m_incarnation);
+}
+
+auto executor::is_plausible(time_point now, worker_report const& report) const
+    -> bool
+{
+    return report.m_service == m_worker->m_service &&
+           report.m_capacity == m_worker->m_capacity &&
+           report.m_labels == m_worker->m_labels &&
+           report.m_sequence - m_worker->m_sequence <= sequence_step_limit &&
+           report.m_clock_ms <=
+               m_clock.at(now) + to_milliseconds(clock_lead_limit);
+}
+
+auto executor::answered(time_point now, worker_checked const& answer,
+                        effects& out) -> void
+{
+    auto const confirmed = m_unconfirmed.answered(now, answer);
+    if (confirmed)
     {
-        // A delayed report of an earlier incarnation.
-        if (report.m_incarnation < m_worker->m_incarnation &&
-            m_polls.is_reachable())
-            return;
-        out.emplace_back(
-            log_line{log_level::info,
-                     "worker_replaced",
-                     {{"worker", m_worker->m_name},
-                      {"by", report.m_name},
-                      {"runs_lost", std::to_string(m_live.size())}}});
-        end_all_runs(now, out);
-        m_worker.reset();
+        if (m_worker)
+            out.emplace_back(
+                log_line{log_level::info,
+                         "worker_replaced",
+                         {{"worker", m_worker->m_name},
+                          {"by", confirmed->m_name},
+                          {"running", std::to_string(m_live.size())}}});
+        begin_incarnation(now, *confirmed, out);
     }
-    if (is_same && report.m_sequence <= m_worker->m_sequence)
+    else if (answer.m_answer == worker_answer::other_lifetime ||
+             answer.m_answer == worker_answer::restarted)
+        out.emplace_back(
+            log_line{log_level::warning,
+                     "worker_report_refuted",
+                     {{"worker", answer.m_name},
+                      {"incarnation", std::to_string(answer.m_incarnation)}}});
+    process_pending(now, out);
+}
+
+auto executor::update_worker(time_point now, worker_report const& report,
+                             effects& out) -> void
+{
+    if (report.m_sequence <= m_worker->m_sequence)
         return;
-    if (!m_worker)
-        begin_incarnation(now, report, out);
+    if (!is_plausible(now, report) && now - m_reported_at < report_silence)
+    {
+        out.emplace_back(
+            log_line{log_level::warning,
+                     "worker_report_ignored",
+                     {{"worker", report.m_name},
+                      {"sequence", std::to_string(report.m_sequence)},
+                      {"service", report.m_service}}});
+        return;
+    }
+    m_reported_at = now;
     auto const is_changed = report.m_is_accepting != m_worker->m_is_accepting ||
                             report.m_capacity != m_worker->m_capacity ||
                             report.m_labels != m_worker->m_labels ||
@@ -507,13 +567,13 @@
         for (auto& [node, requester] : m_requesters)
             requester.m_is_announced = false;
     }
-    process_pending(now, out);
 }
 
 auto executor::begin_incarnation(time_point now, worker_report const& report,
                                  effects& out) -> void
 {
     m_worker = report;
+    m_reported_at = now;
     m_clock.reset();
     m_clock.observe(now, report.m_clock_ms);
     // The worker's clock never goes back during an incarnation, so a restarted
@@ -535,6 +595,9 @@
     m_last_needs = {};
     // The first poll shows runs of an earlier process of this agent.
     m_is_poll_due = true;
+    m_offers.clear();
+    refuse_all_waiting(now, reason::no_capacity, out);
+    transfer_to_incarnation(now);
     for (auto& [node, requester] : m_requesters)
         requester.m_is_announced = false;
     out.emplace_back(log_line{
@@ -550,36 +613,69 @@
 auto executor::left(time_point now, worker_left const& departure, effects& out)
     -> void
 {
+    m_unconfirmed.left(departure.m_name);
     if (!m_worker || m_worker->m_name != departure.m_name)
         return;
     out.emplace_back(log_line{log_level::info,
                               "worker_left",
                               {{"worker", departure.m_name},
-                               {"runs_lost", std::to_string(m_live.size())}}});
-    end_all_runs(now, out);
+                               {"running", std::to_string(m_live.size())}}});
+    // The message may be a delayed one of an earlier incarnation, so the
+    // worker's runs end by its lists or by their lease.
     m_worker->m_is_accepting = false;
-    m_polls.mark_unreachable(now);
+    refuse_all_waiting(now, reason::no_capacity, out);
+    m_polls.request_list();
     process_pending(now, out);
 }
 
+auto executor::transfer_to_incarnation(time_point now) -> void
+{
+    if (m_live.empty())
+        return;
+    m_polls.request_list();
+    m_lease_until_ms = m_clock.at(now) + to_milliseconds(m_settings.m_lease);
+    for (auto& [key, run] : m_live)
+    {
+        run.m_lease_until_ms = m_lease_until_ms;
+        run.m_confirmed_at = now;
+        if (run.m_state != run_state::starting &&
+            run.m_state != run_state::start_unknown)
+            continue;
+        run.m_state = run_state::start_unknown;
+        run.m_start_unknown_since = now;
+        run.m_revoked_at = never;
+        run.m_stop_retry_at = now;
+    }
+}
+
 auto executor::end_all_runs(time_point now, effects& out) -> void
 {
     while (!m_live.empty())
         finish(now, m_live.begin(), run_outcome::lapsed, reason::agent_lost,
                out);
     m_offers.clear();
+    refuse_all_waiting(now, reason::no_capacity, out);
+    m_is_load_changed = true;
+}
+
+auto executor::refuse_all_waiting(time_point now, reason why, effects& out)
+    -> void
+{
+    m_is_load_changed = true;
     while (m_queue.size() != 0)
     {
-        refuse(now, m_queue.all().begin()->second, reason::no_capacity, out);
+        refuse(now, m_queue.all().begin()->second, why, out);
         m_queue.erase(m_queue.all().begin());
     }
-    m_is_load_changed = true;
 }
 
 auto executor::answered(time_point now, run_start_answered const& answer,
                         effects& out) -> void
 {
-    m_clock.observe(now, answer.m_clock_ms);
+    if (is_outdated(answer.m_incarnation))
+        return;
+    if (answer.m_answer != worker_answer::other_lifetime)
+        m_clock.observe(now, answer.m_clock_ms);
     auto const found =
         m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
     if (found == m_live.end() || found->second.m_number != answer.m_run.m_run ||
@@ -618,6 +714,7 @@
                                         answer.m_run.m_task, run.m_number)},
                       {"answer", std::string{to_string(answer.m_answer)}}}});
         finish(now, found, run_outcome::refused, reason::no_capacity, out);
+        m_polls.request_list();
     }
     process_pending(now, out);
 }
@@ -625,7 +722,10 @@
 auto executor::answered(time_point now, run_stop_answered const& answer,
                         effects& out) -> void
 {
-    m_clock.observe(now, answer.m_clock_ms);
+    if (is_outdated(answer.m_incarnation))
+        return;
+    if (answer.m_answer != worker_answer::other_lifetime)
+        m_clock.observe(now, answer.m_clock_ms);
     if (answer.m_answer == worker_answer::fenced)
         raise_token(now);
     auto const found =
@@ -645,12 +745,8 @@
 auto executor::answered(time_point now, runs_polled const& answer, effects& out)
     -> void
 {
-    auto const is_usable = answer.m_answer == worker_answer::accepted &&
-                           m_worker &&
-                           (answer.m_incarnation == 0 ||
-                            answer.m_incarnation == m_worker->m_incarnation);
-    m_clock.observe(now, answer.m_clock_ms);
-    if (!is_usable)
+    if (answer.m_answer != worker_answer::accepted ||
+        is_outdated(answer.m_incarnation))
         poll_failed(now, answer, out);
     else
     {
@@ -658,6 +754,7 @@
         auto const sent_at = m_polls.answered(now, answer.m_poll);
         if (!sent_at)
             return;
+        m_clock.observe(now, answer.m_clock_ms);
         if (!was_reachable)
         {
             m_is_load_changed = true;
@@ -682,14 +779,18 @@
     // The acknowledgement in the poll may be lost with it.
     m_is_poll_due = true;
     if (answer.m_answer == worker_answer::fenced)
+    {
+        m_clock.observe(now, answer.m_clock_ms);
         raise_token(now);
-    // Another incarnation answers, so no run of the old one is left.
+    }
+    // The process that held the runs has ended. Runs that were ordered after
+    // the worker restarted are shown by the lists of its next incarnation.
+    if (answer.m_answer == worker_answer::other_lifetime)
+        end_all_runs(now, out);
     if (answer.m_answer == worker_answer::other_lifetime ||
+        answer.m_answer == worker_answer::restarted ||
         answer.m_answer == worker_answer::accepted)
-    {
         m_polls.mark_unreachable(now);
-        end_all_runs(now, out);
-    }
     if (!was_reachable || m_polls.is_reachable())
         return;
     m_is_load_changed = true;
@@ -1160,6 +1261,8 @@
     refuse_expired_runs(now, out);
     if (accepts(now) != acceptance::none)
         dispatch(now, out);
+    if (auto check = m_unconfirmed.next(now))
+        out.emplace_back(std::move(*check));
     poll(now, out);
     send_ends(out);
     for (auto& [node, requester] : m_requesters)
@@ -1321,7 +1424,7 @@
 
 auto executor::target() const -> worker_target
 {
-    return {m_worker->m_name, m_token};
+    return {m_worker->m_name, m_token, m_worker->m_incarnation};
 }
 
 auto executor::replace_seeds(time_point now,
@@ -1335,12 +1438,7 @@
 auto executor::stop(time_point now, effects& out) -> void
 {
     m_is_stopping = true;
-    m_is_load_changed = true;
-    while (m_queue.size() != 0)
-    {
-        refuse(now, m_queue.all().begin()->second, reason::draining, out);
-        m_queue.erase(m_queue.all().begin());
-    }
+    refuse_all_waiting(now, reason::draining, out);
     process_pending(now, out);
 }
 
@@ -1377,7 +1475,8 @@
                                         hang_limit(run.m_started_at, run));
     }
     first = std::min({first, m_offers.next_deadline(), m_links.next_deadline(),
-                      m_configuration.next_deadline()});
+                      m_configuration.next_deadline(),
+                      m_unconfirmed.next_deadline()});
     for (auto const& [node, requester] : m_requesters)
         if (requester.m_draining_since != never)
             first = std::min(first,
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -10,6 +10,7 @@
 #include "core/placement/room_offers.hpp"
 #include "core/placement/run_queue.hpp"
 #include "core/placement/slowness_estimate.hpp"
+#include "core/placement/unconfirmed_worker.hpp"
 #include "core/placement/worker_clock.hpp"
 #include "core/placement/worker_polls.hpp"
 
@@ -19,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -49,6 +51,8 @@
     auto disconnected(time_point now, node_id peer, effects& out) -> void;
     auto receive(time_point now, node_id from, message const& incoming,
                  effects& out) -> void;
+    /// A report changes nothing until the worker at the worker's address has
+    /// confirmed that it comes from there.
     auto reported(time_point now, worker_report const& report, effects& out)
         -> void;
     auto left(time_point now, worker_left const& departure, effects& out)
@@ -59,6 +63,8 @@
         -> void;
     auto answered(time_point now, runs_polled const& answer, effects& out)
         -> void;
+    auto answered(time_point now, worker_checked const& answer, effects& out)
+        -> void;
     auto tick(time_point now, effects& out) -> void;
     /// This machine was suspended, and perhaps the worker's clock with it.
     auto resumed(duration suspended, effects& out) -> void;
@@ -193,6 +199,18 @@
     /// Number of the last end that may be acknowledged to the worker.
     [[nodiscard]] auto last_acknowledgeable_end() const -> std::uint64_t;
 
+    /// True if the worker or incarnation is the one that is served.
+    [[nodiscard]] auto is_served(std::string_view name,
+                                 std::int64_t incarnation) const -> bool;
+    /// True for the answer to an order that was not for the incarnation that is
+    /// served. 0 is an unknown incarnation.
+    [[nodiscard]] auto is_outdated(std::int64_t incarnation) const -> bool;
+    /// True if the report can come from the incarnation that is served.
+    [[nodiscard]] auto is_plausible(time_point now,
+                                    worker_report const& report) const -> bool;
+    /// Handles a report of the worker that is served.
+    auto update_worker(time_point now, worker_report const& report,
+                       effects& out) -> void;
     auto begin_incarnation(time_point now, worker_report const& report,
                            effects& out) -> void;
     auto dispatch(time_point now, effects& out) -> void;
@@ -230,7 +248,13 @@
         -> void;
     auto stop_strays(time_point now, std::vector<worker_run> strays,
                      effects& out) -> void;
+    /// Leaves it to the first list of this incarnation which runs continue. A
+    /// run may have been started here before the incarnation was known.
+    auto transfer_to_incarnation(time_point now) -> void;
+    /// Ends the runs of a worker whose process has certainly ended, or whose
+    /// lease has certainly expired.
     auto end_all_runs(time_point now, effects& out) -> void;
+    auto refuse_all_waiting(time_point now, reason why, effects& out) -> void;
     auto poll(time_point now, effects& out) -> void;
     auto check_runs(time_point now, effects& out) -> void;
     auto check_requesters(time_point now, effects& out) -> void;
@@ -264,6 +288,9 @@
     /// used by the agent itself.
     configuration_copy m_configuration;
     std::optional<worker_report> m_worker;
+    unconfirmed_worker m_unconfirmed;
+    /// When the last report was accepted.
+    time_point m_reported_at{0};
     worker_clock m_clock;
     std::uint64_t m_token = 0;
     /// The current incarnation of the worker has listed its runs, so that its
--- a/src/core/placement/worker_polls.cpp
+++ b/src/core/placement/worker_polls.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/worker_polls.hpp"
 
+#include "core/placement/contact_timeouts.hpp"
+
 #include <algorithm>
 
 namespace hickorylatch::core
@@ -37,6 +39,7 @@
     m_retry_at = never;
     m_retry_delay = {};
     m_short_waits_until = {};
+    m_paused_until = {};
 }
 
 auto worker_polls::answer_lost(time_point now) -> void
@@ -63,18 +66,24 @@
             return std::nullopt;
         return send(now, {});
     }
+    m_next_due_at = never;
+    if (now < m_paused_until)
+    {
+        if (has_runs || needs_poll || m_is_list_requested)
+            m_next_due_at = m_paused_until;
+        return std::nullopt;
+    }
     if (m_is_list_requested && !has_outstanding(true))
     {
         m_is_list_requested = false;
         return send(now, {});
     }
-    m_long_poll_due_at = never;
     if (has_runs && !has_outstanding(false))
     {
         if (!m_are_ends_pending || now >= m_answered_at + pending_ends_pause)
             return send(now, now < m_short_waits_until ? short_poll_wait
                                                        : poll_wait);
-        m_long_poll_due_at = m_answered_at + pending_ends_pause;
+        m_next_due_at = m_answered_at + pending_ends_pause;
     }
     if (!has_runs && needs_poll && m_outstanding.empty())
         return send(now, {});
@@ -104,6 +113,7 @@
     if (found == m_outstanding.end())
         return false;
     m_unanswered_since = std::min(m_unanswered_since, found->second.m_sent_at);
+    m_paused_until = found->second.m_sent_at + worker_answer_timeout;
     m_outstanding.erase(found);
     answer_lost(now);
     if (++m_failures >= unreachable_failure_count &&
@@ -130,7 +140,7 @@
 {
     if (!m_is_reachable)
         return m_outstanding.empty() ? m_retry_at : never;
-    return m_long_poll_due_at;
+    return m_next_due_at;
 }
 
 auto worker_polls::has_outstanding(bool is_probe) const -> bool
--- a/src/core/placement/worker_polls.hpp
+++ b/src/core/placement/worker_polls.hpp
@@ -66,8 +66,11 @@
     bool m_is_reachable = true;
     bool m_is_list_requested = false;
     bool m_are_ends_pending = false;
-    /// When the next long poll is due; `never` unless ends are pending.
-    time_point m_long_poll_due_at = never;
+    /// No poll is sent before, so that a worker that refuses connections is not
+    /// polled in a loop.
+    time_point m_paused_until{0};
+    /// When the next poll is due; `never` unless it is spaced out.
+    time_point m_next_due_at = never;
     time_point m_answered_at{0};
     unsigned m_failures = 0;
     /// Send time of the first poll that failed since the last answer.
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -203,6 +203,12 @@
             m_node.m_executor->answered(m_now, event, m_out);
     }
 
+    auto operator()(worker_checked const& event) -> void
+    {
+        if (m_node.m_executor)
+            m_node.m_executor->answered(m_now, event, m_out);
+    }
+
     auto operator()(seeds_changed const& event) -> void
     {
         if (m_node.m_broker)
--- a/src/platform/worker_api.cpp
+++ b/src/platform/worker_api.cpp
@@ -18,23 +18,38 @@
 namespace leaf = boost::leaf;
 
 constexpr auto reports_path_prefix = std::string_view{"/api/instances/"};
+constexpr auto poll_path = "/api/hold";
 constexpr auto expected_instance_header = "X-Hickorylatch-Expected-Instance";
 
+// Limit for the identity of a worker that has just reported. Nothing waits for
+// it, so it allows for a slow worker.
+constexpr auto identity_timeout =
+    core::duration{std::chrono::milliseconds{200}};
+
 constexpr auto idle_timeout = core::duration{std::chrono::seconds{60}};
 
+/// True if the answer to a poll comes from this incarnation.
+auto is_from(net::http_answer const& answer, std::int64_t incarnation) -> bool
+{
+    auto const answered = parse_worker_reply(answer.m_body).m_incarnation;
+    return answer.m_status == 200 &&
+           (incarnation == 0 || answered == 0 || answered == incarnation);
+}
+
 /// Converts the HTTP result of an order to the worker's answer.
 auto to_answer(net::http_result const& result, worker_reply const& reply)
     -> core::worker_answer
 {
     using enum core::worker_answer;
-    if (result.m_run == core::run_state::not_run)
-        return unreachable;
-    if (result.m_run != core::run_state::ran)
+    auto const is_sent = result.m_run != core::run_state::not_run;
+    if (result.m_run == core::run_state::may_have_run)
         return unknown;
     switch (result.m_answer.m_status)
     {
+    case 0:
+        return unreachable;
     case 200:
-        return accepted;
+        return is_sent ? accepted : restarted;
     case 409:
         if (reply.m_reason == "fence")
             return fenced;
@@ -56,7 +71,8 @@
     : m_process{target}, m_poll_client{target.loop(),
                                        worker,
                                        {.m_idle_timeout = idle_timeout}},
-      m_order_client{target.loop(), worker, {.m_idle_timeout = idle_timeout}}
+      m_order_client{target.loop(), worker, {.m_idle_timeout = idle_timeout}},
+      m_check_client{target.loop(), worker, {}}
 {
     m_process.run_start_requested().connect(
         [this](core::start_run const& order)
@@ -73,6 +89,11 @@
         {
             poll(order);
         });
+    m_process.worker_check_requested().connect(
+        [this](core::check_worker const& order)
+        {
+            check(order);
+        });
 }
 
 auto worker_api::open(process::process& target,
@@ -154,11 +175,12 @@
 auto worker_api::start(core::start_run const& order) -> void
 {
     auto const handle_result =
-        [this, run = order.m_run](net::http_result const& result)
+        [this, run = order.m_run, incarnation = order.m_target.m_incarnation](
+            net::http_result const& result)
     {
         auto const reply = parse_worker_reply(result.m_answer.m_body);
         m_process.handle_event(core::run_start_answered{
-            run, to_answer(result, reply), reply.m_clock_ms});
+            run, to_answer(result, reply), reply.m_clock_ms, incarnation});
     };
     m_order_client.start(make_call("/api/run-start", order.m_target,
                                    serialize_start(order),
@@ -169,11 +191,12 @@
 auto worker_api::stop(core::stop_run const& order) -> void
 {
     auto const handle_result =
-        [this, run = order.m_run](net::http_result const& result)
+        [this, run = order.m_run, incarnation = order.m_target.m_incarnation](
+            net::http_result const& result)
     {
         auto const reply = parse_worker_reply(result.m_answer.m_body);
         m_process.handle_event(core::run_stop_answered{
-            run, to_answer(result, reply), reply.m_clock_ms});
+            run, to_answer(result, reply), reply.m_clock_ms, incarnation});
     };
     m_order_client.start(make_call("/api/run-stop", order.m_target,
                                    serialize_stop(order),
@@ -186,13 +209,34 @@
     auto const timeout = std::chrono::milliseconds{order.m_wait_ms} +
                          core::worker_answer_timeout;
     m_poll_client.start(
-        make_call("/api/hold", order.m_target, serialize_poll(order), timeout),
+        make_call(poll_path, order.m_target, serialize_poll(order), timeout),
         [this, order](net::http_result const& result)
         {
             handle_poll_result(order, result);
         });
 }
 
+auto worker_api::check(core::check_worker const& order) -> void
+{
+    auto probe = core::poll_runs{};
+    probe.m_target = order.m_target;
+    auto call = make_call(poll_path, order.m_target, serialize_poll(probe),
+                          identity_timeout);
+    m_check_client.start(
+        call,
+        [this, target = order.m_target](net::http_result const& result)
+        {
+            auto const reply = parse_worker_reply(result.m_answer.m_body);
+            auto answer = to_answer(result, reply);
+            if (answer == core::worker_answer::accepted &&
+                !is_from(result.m_answer, target.m_incarnation))
+                answer = core::worker_answer::restarted;
+            m_process.handle_event(
+                core::worker_checked{target.m_worker, target.m_incarnation,
+                                     answer, reply.m_clock_ms});
+        });
+}
+
 auto worker_api::handle_poll_result(core::poll_runs const& order,
                                     net::http_result const& result) -> void
 {
--- a/src/platform/worker_api.hpp
+++ b/src/platform/worker_api.hpp
@@ -38,6 +38,7 @@
     auto start(core::start_run const& order) -> void;
     auto stop(core::stop_run const& order) -> void;
     auto poll(core::poll_runs const& order) -> void;
+    auto check(core::check_worker const& order) -> void;
     auto handle_poll_result(core::poll_runs const& order,
                             net::http_result const& result) -> void;
     [[nodiscard]] static auto
@@ -49,6 +50,8 @@
     /// Long polls occupy their connection, so orders use another one.
     net::http_client m_poll_client;
     net::http_client m_order_client;
+    /// Opens a connection for each call.
+    net::http_client m_check_client;
 };
 
 } // namespace hickorylatch::platform
--- a/src/platform/worker_body.cpp
+++ b/src/platform/worker_body.cpp
@@ -128,7 +128,7 @@
     if (error || !value.is_object())
         return {};
     auto in = json_reader{value.as_object()};
-    return {in.integer("clockMs"), in.string("reason")};
+    return {in.integer("clockMs"), in.string("reason"), in.integer("born")};
 }
 
 auto parse_poll_answer(std::string_view body)
--- a/src/platform/worker_body.hpp
+++ b/src/platform/worker_body.hpp
@@ -26,6 +26,8 @@
     std::int64_t m_clock_ms = 0;
     /// Why an order was refused; empty if the answer has none.
     std::string m_reason;
+    /// Incarnation of the worker that answered; 0 if the answer has none.
+    std::int64_t m_incarnation = 0;
 };
 
 /// Returns empty members for an answer that is invalid.
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -695,6 +695,11 @@
     m_poll_requested.emit(effect);
 }
 
+auto process::execute(core::check_worker& effect) -> void
+{
+    m_worker_check_requested.emit(effect);
+}
+
 auto process::execute(core::close_idle_callers& effect) -> void
 {
     static_cast<void>(effect);
@@ -767,6 +772,12 @@
     return m_poll_requested;
 }
 
+auto process::worker_check_requested()
+    -> sigc::signal<void(core::check_worker const&)>&
+{
+    return m_worker_check_requested;
+}
+
 auto process::reload_requested() -> sigc::signal<void()>&
 {
     return m_signals.reopen_requested();
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -74,6 +74,8 @@
     auto run_start_requested() -> sigc::signal<void(core::start_run const&)>&;
     auto run_stop_requested() -> sigc::signal<void(core::stop_run const&)>&;
     auto poll_requested() -> sigc::signal<void(core::poll_runs const&)>&;
+    auto worker_check_requested()
+        -> sigc::signal<void(core::check_worker const&)>&;
     /// SIGHUP was received.
     auto reload_requested() -> sigc::signal<void()>&;
 
@@ -128,6 +130,7 @@
     auto execute(core::stop_run& effect) -> void;
     auto execute(core::poll_runs& effect) -> void;
     auto execute(core::close_idle_callers& effect) -> void;
+    auto execute(core::check_worker& effect) -> void;
 
     auto handle_caller(net::http_server& server,
                        net::http_request const& request) -> void;
@@ -207,6 +210,7 @@
     sigc::signal<void(core::start_run const&)> m_run_start_requested;
     sigc::signal<void(core::stop_run const&)> m_run_stop_requested;
     sigc::signal<void(core::poll_runs const&)> m_poll_requested;
+    sigc::signal<void(core::check_worker const&)> m_worker_check_requested;
     bool m_is_disk_full = false;
     int m_exit_code = 0;
     unsigned m_flush_rounds = 0;
--- a/tests/core/desk_sample.hpp
+++ b/tests/core/desk_sample.hpp
@@ -46,6 +46,12 @@
     return report;
 }
 
+/// Confirms `desk_worker_report`.
+inline auto desk_worker_checked() -> core::worker_checked
+{
+    return {"w", 1, core::worker_answer::accepted, 1'000};
+}
+
 /// A worker's answer to a poll that lists no runs.
 inline auto poll_answer(std::uint64_t number) -> core::runs_polled
 {
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -571,6 +571,8 @@
         start(worker, *started);
     else if (auto const* stopped = std::get_if<core::stop_run>(&effect))
         stop(worker, *stopped);
+    else if (auto const* check = std::get_if<core::check_worker>(&effect))
+        answer_check(worker, check->m_target);
     else if (auto const* poll = std::get_if<core::poll_runs>(&effect))
     {
         auto const is_lost =
@@ -614,6 +616,8 @@
         start.m_run_time = run_time_of(order);
         start.m_lease_until_ms = order.m_lease_until_ms;
         start.m_fencing_token = order.m_target.m_fencing_token;
+        if (order.m_target.m_incarnation != worker.m_report.m_incarnation)
+            return core::worker_answer::other_lifetime;
         auto const result = worker.m_worker->start(m_now, start);
         update_due(worker);
         if (result == core::worker_answer::accepted)
@@ -632,6 +636,7 @@
         auto answer = core::run_start_answered{};
         answer.m_run = order.m_run;
         answer.m_answer = result;
+        answer.m_incarnation = order.m_target.m_incarnation;
         if (result != core::worker_answer::unknown)
             answer.m_clock_ms = worker.m_worker->clock_ms(m_now);
         run_agent(worker,
@@ -709,6 +714,37 @@
           });
 }
 
+auto placement_world::answer_check(worker_state& worker,
+                                   core::worker_target const& target) -> void
+{
+    auto answer = core::worker_checked{};
+    answer.m_name = target.m_worker;
+    answer.m_incarnation = target.m_incarnation;
+    if (worker.m_fault == order_fault::silent)
+        answer.m_answer = core::worker_answer::unknown;
+    else
+    {
+        answer.m_answer =
+            target.m_worker == worker.m_report.m_name &&
+                    target.m_incarnation == worker.m_report.m_incarnation
+                ? worker.m_worker->poll(m_now, 0, 0, target.m_fencing_token)
+                      .m_answer
+                : core::worker_answer::other_lifetime;
+        answer.m_clock_ms = worker.m_worker->clock_ms(m_now);
+    }
+    auto const node = worker.m_node;
+    after(worker_delay,
+          [&worker, node, answer, this]
+          {
+              if (worker.m_node == node)
+                  run_agent(worker,
+                            [&](core::executor& executor, core::effects& out)
+                            {
+                                executor.answered(m_now, answer, out);
+                            });
+          });
+}
+
 auto placement_world::answer_polls(worker_state& worker) -> void
 {
     while (!worker.m_waiting_polls.empty() &&
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -173,6 +173,8 @@
         -> void;
     auto start(worker_state& worker, core::start_run const& order) -> void;
     auto stop(worker_state& worker, core::stop_run const& order) -> void;
+    auto answer_check(worker_state& worker, core::worker_target const& target)
+        -> void;
     auto answer_polls(worker_state& worker) -> void;
     /// Draws how the next order to a worker fails.
     auto draw_fault(worker_state const& worker) -> order_fault;
--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -35,6 +35,7 @@
     auto agent = core::executor{core::executor_settings{}};
     auto report = test::desk_worker_report();
     agent.reported(milliseconds{1'000}, report, out);
+    agent.answered(milliseconds{1'000}, test::desk_worker_checked(), out);
     auto peer = core::hello{};
     peer.m_node = entry;
     peer.m_role = core::role::entry;
@@ -317,6 +318,7 @@
     auto agent = core::executor{core::executor_settings{}};
     auto report = test::desk_worker_report();
     agent.reported(milliseconds{1'000}, report, out);
+    agent.answered(milliseconds{1'000}, test::desk_worker_checked(), out);
     auto list = test::poll_answer(test::last<core::poll_runs>(out)->m_poll);
     list.m_ended = {
         {1, {"00000000000000aa", {0, 3}, 1}, core::run_outcome::succeeded}};
@@ -412,14 +414,233 @@
     agent.receive(milliseconds{1'002}, entry,
                   core::contact_confirmed{milliseconds{1'001}, 0, 0}, out);
     agent.receive(milliseconds{1'003}, entry, make_order(), out);
+    auto no_answer = test::desk_worker_checked();
+    no_answer.m_answer = core::worker_answer::unreachable;
     for (auto now = milliseconds{1'100}; now < milliseconds{3'000};
          now += milliseconds{100})
     {
-        auto no_answer = core::runs_polled{};
-        no_answer.m_poll = test::last<core::poll_runs>(out)->m_poll;
         agent.answered(now, no_answer, out);
         agent.tick(now, out);
     }
     BOOST_TEST(test::last<core::start_run>(out) == nullptr);
     BOOST_TEST(agent.waiting() == 0U);
+    BOOST_TEST(agent.worker() == nullptr);
+}
+
+namespace
+{
+
+/// An agent with one run in progress at worker "w".
+struct agent_with_run
+{
+    agent_with_run() : m_agent{make_agent(m_out)}
+    {
+        auto order = make_order();
+        order.m_time_left_ms = 60'000;
+        m_agent.receive(milliseconds{1'010}, entry, order, m_out);
+        m_run = test::last<core::start_run>(m_out)->m_run;
+        m_agent.answered(milliseconds{1'011},
+                         core::run_start_answered{
+                             m_run, core::worker_answer::accepted, 1'011, 1},
+                         m_out);
+        m_out.clear();
+    }
+
+    core::effects m_out;
+    core::executor m_agent;
+    core::worker_run m_run;
+};
+
+/// A later report than that of `agent_with_run`, which differs in nothing else.
+auto next_report() -> core::worker_report
+{
+    auto report = test::desk_worker_report();
+    report.m_sequence = 2;
+    report.m_clock_ms = 1'020;
+    return report;
+}
+
+} // namespace
+
+// Guards against two runs of a task: a report of another process, or a delayed
+// one of an earlier incarnation, counted as the end of all runs at the worker.
+BOOST_AUTO_TEST_CASE(a_report_that_the_worker_refutes_ends_no_run)
+{
+    auto foreign = next_report();
+    foreign.m_name = "w2";
+    foreign.m_service = "unknown";
+    auto delayed = next_report();
+    delayed.m_incarnation = 9;
+    for (auto const& report : {foreign, delayed})
+    {
+        auto agent = agent_with_run{};
+        auto& out = agent.m_out;
+        agent.m_agent.reported(milliseconds{1'020}, report, out);
+        BOOST_TEST(agent.m_agent.running() == 1U);
+        auto const* check = test::last<core::check_worker>(out);
+        BOOST_REQUIRE(check != nullptr);
+        BOOST_TEST(check->m_target.m_worker == report.m_name);
+        agent.m_agent.answered(
+            milliseconds{1'021},
+            core::worker_checked{report.m_name, report.m_incarnation,
+                                 core::worker_answer::other_lifetime, 1'021},
+            out);
+        BOOST_TEST(agent.m_agent.running() == 1U);
+        BOOST_TEST(count_ends(out) == 0);
+        BOOST_TEST(agent.m_agent.worker()->m_name == "w");
+        BOOST_TEST(agent.m_agent.worker()->m_incarnation == 1);
+    }
+}
+
+// Guards against two runs of a task: it was started on the next incarnation of
+// the worker before the first report of that arrived, which then counted as the
+// end of all runs.
+BOOST_AUTO_TEST_CASE(a_new_incarnation_decides_by_its_list_which_runs_continue)
+{
+    auto agent = agent_with_run{};
+    auto report = test::desk_worker_report();
+    report.m_incarnation = 2;
+    agent.m_agent.reported(milliseconds{1'020}, report, agent.m_out);
+    agent.m_agent.answered(
+        milliseconds{1'021},
+        core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
+        agent.m_out);
+    BOOST_TEST(agent.m_agent.worker()->m_incarnation == 2);
+    BOOST_TEST(agent.m_agent.running() == 1U);
+    auto const first = *test::last<core::poll_runs>(agent.m_out);
+    BOOST_TEST(first.m_target.m_incarnation == 2);
+    auto list = test::poll_answer(first.m_poll);
+    list.m_incarnation = 2;
+    list.m_running = {agent.m_run};
+    agent.m_agent.answered(milliseconds{1'022}, list, agent.m_out);
+    BOOST_TEST(agent.m_agent.running() == 1U);
+    BOOST_TEST(count_ends(agent.m_out) == 0);
+    // A list without the run ends it.
+    agent.m_agent.tick(milliseconds{1'150}, agent.m_out);
+    list.m_poll = test::last<core::poll_runs>(agent.m_out)->m_poll;
+    list.m_running.clear();
+    agent.m_agent.answered(milliseconds{1'151}, list, agent.m_out);
+    BOOST_TEST(agent.m_agent.running() == 0U);
+    BOOST_TEST(count_ends(agent.m_out) == 1);
+}
+
+// Guards against two runs of a task: a delayed departure of an earlier
+// incarnation counted as the end of all runs.
+BOOST_AUTO_TEST_CASE(a_departure_ends_no_run_that_the_worker_still_lists)
+{
+    auto agent = agent_with_run{};
+    auto& out = agent.m_out;
+    agent.m_agent.left(milliseconds{1'020}, core::worker_left{"w"}, out);
+    BOOST_TEST(agent.m_agent.running() == 1U);
+    BOOST_TEST(count_ends(out) == 0);
+    auto const* polled = test::last<core::poll_runs>(out);
+    BOOST_REQUIRE(polled != nullptr);
+    auto list = test::poll_answer(polled->m_poll);
+    list.m_running = {agent.m_run};
+    agent.m_agent.answered(milliseconds{1'021}, list, out);
+    BOOST_TEST(agent.m_agent.running() == 1U);
+    // The worker is used again once it reports that it accepts runs.
+    agent.m_agent.reported(milliseconds{1'030}, next_report(), out);
+    BOOST_TEST(agent.m_agent.worker()->m_is_accepting);
+}
+
+// Guards against reports that another process wrote under the name and the
+// incarnation of the worker: they must not change what the worker offers, nor
+// make its own next report look outdated.
+BOOST_AUTO_TEST_CASE(a_damaged_report_of_the_same_incarnation_is_ignored)
+{
+    auto service = next_report();
+    service.m_service = "unknown";
+    auto capacity = next_report();
+    capacity.m_capacity = {4'000'000'000, 1'024, 0};
+    auto sequence = next_report();
+    sequence.m_sequence = std::uint64_t{1} << 62U;
+    auto clock = next_report();
+    clock.m_clock_ms = std::int64_t{1} << 53U;
+    for (auto const& damaged : {service, capacity, sequence, clock})
+    {
+        auto agent = agent_with_run{};
+        agent.m_agent.reported(milliseconds{1'020}, damaged, agent.m_out);
+        BOOST_TEST(agent.m_agent.worker()->m_sequence == 1U);
+        auto own = next_report();
+        own.m_is_accepting = false;
+        agent.m_agent.reported(milliseconds{1'030}, own, agent.m_out);
+        BOOST_TEST(!agent.m_agent.worker()->m_is_accepting);
+        BOOST_TEST(agent.m_agent.running() == 1U);
+    }
+}
+
+// Guards against a worker that is out of use for good because the first report
+// that was accepted was a damaged one.
+BOOST_AUTO_TEST_CASE(a_changed_report_is_accepted_after_a_silence)
+{
+    auto agent = agent_with_run{};
+    auto changed = next_report();
+    changed.m_capacity = {8'000, 1'024, 0};
+    agent.m_agent.reported(milliseconds{1'020}, changed, agent.m_out);
+    BOOST_TEST(agent.m_agent.worker()->m_sequence == 1U);
+    ++changed.m_sequence;
+    agent.m_agent.reported(milliseconds{6'001}, changed, agent.m_out);
+    BOOST_TEST(agent.m_agent.worker()->m_sequence == 3U);
+}
+
+// Guards against a late answer of an earlier incarnation that sets the clock by
+// which the leases of the next one are counted.
+BOOST_AUTO_TEST_CASE(answers_of_an_earlier_incarnation_are_ignored)
+{
+    auto agent = agent_with_run{};
+    auto report = test::desk_worker_report();
+    report.m_incarnation = 2;
+    agent.m_agent.reported(milliseconds{1'020}, report, agent.m_out);
+    agent.m_agent.answered(
+        milliseconds{1'021},
+        core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
+        agent.m_out);
+    agent.m_agent.answered(
+        milliseconds{1'022},
+        core::run_stop_answered{agent.m_run, core::worker_answer::accepted,
+                                900'000, 1},
+        agent.m_out);
+    agent.m_agent.receive(milliseconds{1'030}, entry,
+                          core::contact_confirmed{milliseconds{1'030}, 0, 0},
+                          agent.m_out);
+    agent.m_agent.answered(
+        milliseconds{1'031},
+        test::poll_answer(test::last<core::poll_runs>(agent.m_out)->m_poll),
+        agent.m_out);
+    auto order = make_order();
+    order.m_order = 2;
+    order.m_job_id = "00000000000000bb";
+    agent.m_agent.receive(milliseconds{1'040}, entry, order, agent.m_out);
+    auto const* started = test::last<core::start_run>(agent.m_out);
+    BOOST_REQUIRE(started != nullptr);
+    BOOST_TEST(started->m_lease_until_ms < 10'000);
+}
+
+// Guards against an agent that polls in a loop without a pause while its worker
+// is gone and each connection is refused at once.
+BOOST_AUTO_TEST_CASE(refused_polls_are_spaced_out)
+{
+    auto agent = agent_with_run{};
+    auto& out = agent.m_out;
+    auto now = milliseconds{1'020};
+    agent.m_agent.left(now, core::worker_left{"w"}, out);
+    auto answered = std::uint64_t{0};
+    auto polls = 0;
+    for (; now < milliseconds{1'120}; now += milliseconds{1})
+    {
+        agent.m_agent.tick(now, out);
+        for (auto const* poll = test::last<core::poll_runs>(out);
+             poll != nullptr && poll->m_poll > answered && polls < 1'000;
+             poll = test::last<core::poll_runs>(out))
+        {
+            ++polls;
+            auto refused = core::runs_polled{};
+            refused.m_poll = answered = poll->m_poll;
+            refused.m_answer = core::worker_answer::unreachable;
+            agent.m_agent.answered(now, refused, out);
+        }
+    }
+    BOOST_TEST(polls >= 2);
+    BOOST_TEST(polls <= 12);
 }
--- a/tests/core/roles/test_pause.cpp
+++ b/tests/core/roles/test_pause.cpp
@@ -28,6 +28,7 @@
     auto report = test::desk_worker_report();
     core::reduce(agent, milliseconds{1'000}, core::worker_reported{report},
                  out);
+    core::reduce(agent, milliseconds{1'000}, test::desk_worker_checked(), out);
     auto peer = core::hello{};
     peer.m_node = entry;
     peer.m_role = core::role::entry;
--- a/tests/system/soak/faults.py
+++ b/tests/system/soak/faults.py
@@ -1,10 +1,11 @@
 """Draws faults at random and injects them from outside the processes."""
 
 import asyncio
+import json
 import signal
 import time
 
-from . import deployment
+from . import deployment, wire
 from .links import Fault
 
 
@@ -13,6 +14,22 @@
 CATCH_UP_S = 4.0
 
 
+def foreign_reports(worker):
+    """Names and changed fields of reports that do not come from the worker."""
+    later = {"sequence": worker.report_sequence + 1}
+    fields = [{"service": "no-such-desk"}, {"state": "unknown"},
+              {"state": "left"}, {"sequence": 2 ** 62}, {"sequence": 2 ** 70},
+              {"clockMs": 2 ** 53}, {"born": worker.incarnation + 1},
+              {"born": worker.incarnation - 1}, {"born": 1e300},
+              {"capacity": {"cpu": 4 * 10 ** 9, "memMb": 1, "gpu": 0}},
+              {"capacity": None}, {"address": "127.0.0.1:99999"},
+              {"labels": {}}, {"nested": "here"}]
+    return ([(worker.name, {**later, **each}) for each in fields] +
+            [("i-foreign", {**later, "service": "no-such-desk",
+                            "born": worker.incarnation + 1}),
+             ("i-foreign", {**later, "born": worker.incarnation + 1})])
+
+
 class Faults:
     """Injects overlapping faults. At most one machine with a disk has a fault
     at a time: the settings allow for the loss of one machine."""
@@ -33,7 +50,8 @@
                 *self.exclusive_faults()]
 
     def worker_faults(self):
-        return [self.crash_worker, self.degrade_worker, self.drain_worker]
+        return [self.crash_worker, self.degrade_worker, self.drain_worker,
+                self.send_foreign_report]
 
     def exclusive_faults(self):
         """Faults during which no other machine with a disk may be lost."""
@@ -180,6 +198,26 @@
         await worker.start()
         return worker.name
 
+    async def send_foreign_report(self):
+        """Another process sends a report to the agent of a worker, as that
+        worker or under another name."""
+        worker = self.rng.choice(self.workers)
+        if not worker.is_up:
+            return "none"
+        name, change = self.rng.choice(foreign_reports(worker))
+        body = json.dumps({**worker.report_body(), **change}).encode()
+        if "nested" in change:
+            body = body.replace(b'"here"', b"[" * 5000 + b"]" * 5000)
+        connection = wire.Connection(*worker.agent_address)
+        method = "DELETE" if change.get("state") == "left" else "PUT"
+        try:
+            await asyncio.wait_for(connection.exchange(
+                method, f"/api/instances/{name}", body), 1.0)
+        except (OSError, ConnectionError, asyncio.TimeoutError):
+            pass
+        connection.close()
+        return f"{name} at {worker.name}: {change}"
+
     async def degrade_worker(self):
         worker = self.rng.choice(self.workers)
         mode = self.rng.choice(["failing", "hanging", "slow", "unresponsive",
--- a/tests/system/soak/wire.py
+++ b/tests/system/soak/wire.py
@@ -80,10 +80,13 @@
         self.reader = self.writer = None
 
 
-async def serve(host, port, handler):
+async def serve(host, port, handler, writers=None):
     """Answers requests with `handler(method, path, headers, body)`, which
-    returns a status and a JSON value, or None to send no answer."""
+    returns a status and a JSON value, or None to send no answer. Open
+    connections are in the set `writers`."""
     async def handle_connection(reader, writer):
+        if writers is not None:
+            writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 (method, path, *_), headers = head
@@ -101,6 +104,8 @@
                 asyncio.CancelledError):
             pass
         finally:
+            if writers is not None:
+                writers.discard(writer)
             writer.close()
     return await asyncio.start_server(handle_connection, host, port,
                                       limit=HEADER_LIMIT, backlog=512)
--- a/tests/system/soak/worker.py
+++ b/tests/system/soak/worker.py
@@ -36,8 +36,9 @@
         self.is_draining = False
         self.drain_reported_at = None
 
-    async def start(self):
-        """Starts a new incarnation without the state of earlier ones."""
+    async def start(self, first_report_delay_s=0.0):
+        """Starts a new incarnation without the state of earlier ones. It
+        accepts orders before its first report."""
         self.incarnation = int(time.time() * 1000)
         self.started_at = time.monotonic()
         self.report_sequence = 0
@@ -52,9 +53,12 @@
         self.mode = "normal"
         self.is_draining = False
         self.drain_reported_at = None
-        self.server = await wire.serve(self.host, self.port, self.handle)
+        self.writers = set()
+        self.server = await wire.serve(self.host, self.port, self.handle,
+                                       self.writers)
         self.is_up = True
-        self.report_task = asyncio.create_task(self.report_periodically())
+        self.report_task = asyncio.create_task(
+            self.report_periodically(first_report_delay_s))
 
     async def crash(self):
         self.is_up = False
@@ -65,12 +69,16 @@
         self.running.clear()
         self.unacknowledged_ends.clear()
         self.server.close()
+        # The connections of a process end with it.
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * CLOCK_RATE *
                    1000) + 1000
 
-    async def report_periodically(self):
+    async def report_periodically(self, first_report_delay_s):
+        await asyncio.sleep(first_report_delay_s)
         connection = wire.Connection(self.agent_address[0],
                                      self.agent_address[1])
         while True:
@@ -85,17 +93,20 @@
     async def report(self, connection):
         self.report_sequence += 1
         is_draining = self.is_draining
-        body = {"service": "desk", "address": f"{self.host}:{self.port}",
+        body = self.report_body()
+        status, _, _ = await connection.exchange(
+            "PUT", f"/api/instances/{self.name}", json.dumps(body).encode())
+        if is_draining and status == 200 and self.drain_reported_at is None:
+            self.drain_reported_at = time.monotonic()
+
+    def report_body(self):
+        return {"service": "desk", "address": f"{self.host}:{self.port}",
                 "zone": "z", "version": "v1", "slots": 8,
                 "born": self.incarnation,
-                "state": "draining" if is_draining else "ready",
+                "state": "draining" if self.is_draining else "ready",
                 "coldRemainingMs": 0, "clockMs": self.clock_ms(),
                 "capacity": {"cpu": self.capacity, "memMb": 65536, "gpu": 0},
                 "labels": ["a", "r1"], "sequence": self.report_sequence}
-        status, _, _ = await connection.exchange(
-            "PUT", f"/api/instances/{self.name}", json.dumps(body).encode())
-        if is_draining and status == 200 and self.drain_reported_at is None:
-            self.drain_reported_at = time.monotonic()
 
     async def handle(self, method, path, headers, body):
         if not self.is_up:
