Send orders only on connections that lead to the intended incarnation

Cause: an order names only the worker, and a restarted worker keeps its name. Until its first report the agent ordered runs for the earlier incarnation that the new one carried out. The same gap let an order reach a worker of another kind, and a poll acknowledge ends of the new incarnation by the numbers of the earlier one.

Change: the first call on each connection to the worker is a poll whose answer shows the incarnation; orders follow only on a connection that passed, and connections are kept apart by incarnation. A connection leads to one process, so one check holds for all its calls.

Soak: a restarted worker sends its first report up to 1 s late.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,6 +21,7 @@
 namespace
 {
 
+constexpr auto deadline_passed = std::string_view{"deadline passed"};
 // By default evhttp fails a call after 50 s without data. Calls are limited by
 // `http_call::m_timeout` instead.
 constexpr auto socket_timeout_s = 24 * 60 * 60;
@@ -112,7 +113,10 @@
 struct http_client::connection
 {
     http_client& m_client;
+    /// Instance of the server that answers here; empty if it is not checked.
+    std::string m_instance;
     std::unique_ptr<evhttp_connection, evhttp_connection_deleter> m_handle;
+    bool m_is_checked = false;
     /// Bytes of the current call were written to the output buffer. evhttp
     /// writes to it only after the connection is established.
     bool m_has_written = false;
@@ -131,10 +135,12 @@
     call_id m_id = 0;
     callback m_finished;
     std::unique_ptr<connection> m_connection;
+    /// The call itself while its connection is being checked.
+    std::optional<http_call> m_unsent;
     /// Cause of a failure; empty if none was reported.
     std::string m_cause;
     /// evhttp may report a failure before `start` has returned.
-    bool m_is_starting = true;
+    bool m_is_starting = false;
     timer m_timeout;
 };
 
@@ -159,29 +165,49 @@
 auto http_client::start(http_call const& call, callback finished) -> call_id
 {
     auto const id = ++m_last_id;
+    auto const instance = call.m_check ? call.m_check->m_instance : "";
     auto owned = std::unique_ptr<active_call>{
         new active_call{.m_client = *this,
                         .m_id = id,
                         .m_finished = std::move(finished),
-                        .m_connection = acquire_connection(),
+                        .m_connection = acquire_connection(instance),
+                        .m_unsent = {},
                         .m_cause = {},
                         .m_timeout{m_loop, [this, id]
                                    {
-                                       interrupt(id, "deadline passed");
+                                       interrupt(id, deadline_passed);
                                    }}}};
     auto& state = *m_calls.emplace(id, std::move(owned)).first->second;
-    if (call.m_timeout > core::duration{0})
-        state.m_timeout.start(call.m_timeout);
+    auto const is_checked = !call.m_check || state.m_connection->m_is_checked;
+    auto const timeout = is_checked ? call.m_timeout : call.m_check->m_timeout;
+    if (timeout > core::duration{0})
+        state.m_timeout.start(timeout);
     if (!is_valid(call))
         state.m_cause = "invalid path or header";
-    else if (!make_request(call, state) && state.m_cause.empty())
-        state.m_cause = "connection failed";
-    state.m_is_starting = false;
+    else if (is_checked)
+        send(call, state);
+    else
+    {
+        state.m_unsent = call;
+        auto check = net::http_call{};
+        check.m_path = call.m_check->m_path;
+        check.m_headers = call.m_check->m_headers;
+        check.m_body = call.m_check->m_body;
+        send(check, state);
+    }
     if (!state.m_cause.empty())
         state.m_timeout.start(core::duration{0});
     return id;
 }
 
+auto http_client::send(http_call const& call, active_call& state) -> void
+{
+    state.m_is_starting = true;
+    if (!make_request(call, state) && state.m_cause.empty())
+        state.m_cause = "connection failed";
+    state.m_is_starting = false;
+}
+
 auto http_client::cancel(call_id call) -> void
 {
     interrupt(call, "cancelled");
@@ -192,13 +218,15 @@
     return m_calls.size();
 }
 
-auto http_client::acquire_connection() -> std::unique_ptr<connection>
+auto http_client::acquire_connection(std::string const& instance)
+    -> std::unique_ptr<connection>
 {
-    auto const usable = std::ranges::find_if(m_idle,
-                                             [](auto const& idle)
-                                             {
-                                                 return !idle->m_is_closed;
-                                             });
+    auto const usable = std::ranges::find_if(
+        m_idle,
+        [&](auto const& idle)
+        {
+            return !idle->m_is_closed && idle->m_instance == instance;
+        });
     if (usable != m_idle.end())
     {
         auto reused = std::move(*usable);
@@ -206,7 +234,14 @@
         reused->m_has_written = false;
         return reused;
     }
-    auto created = std::make_unique<connection>(connection{*this, {}});
+    return open_connection(instance);
+}
+
+auto http_client::open_connection(std::string const& instance)
+    -> std::unique_ptr<connection>
+{
+    auto created =
+        std::make_unique<connection>(connection{*this, instance, {}});
     created->m_handle.reset(evhttp_connection_base_new(
         m_loop.base(), nullptr, m_target.host().c_str(), m_target.port()));
     if (!created->m_handle)
@@ -287,6 +322,8 @@
     result.m_run = core::run_state::ran;
     result.m_answer = {static_cast<std::uint16_t>(status), copy_headers(answer),
                        take_body(answer)};
+    if (call.m_unsent)
+        return checked(call, std::move(result.m_answer));
     if (!is_self_delimiting(result.m_answer))
     {
         call.m_cause = "answer without a length";
@@ -295,13 +332,43 @@
     finish(call.m_id, std::move(result));
 }
 
+auto http_client::checked(active_call& call, http_answer answer) -> void
+{
+    if (!is_self_delimiting(answer) ||
+        !call.m_unsent->m_check->m_accepts(answer))
+    {
+        call.m_cause = "another instance of the server answers";
+        call.m_connection->m_is_closed = true;
+        auto result = failure(call);
+        result.m_answer = std::move(answer);
+        return finish(call.m_id, std::move(result));
+    }
+    auto const next = std::move(*call.m_unsent);
+    call.m_unsent.reset();
+    if (call.m_connection->m_is_closed)
+    {
+        auto used = std::exchange(call.m_connection, open_connection(""));
+        m_discarded.push_back(std::move(used));
+        m_cleanup.start(core::duration{0});
+    }
+    call.m_connection->m_is_checked = true;
+    call.m_connection->m_has_written = false;
+    call.m_timeout.stop();
+    if (next.m_timeout > core::duration{0})
+        call.m_timeout.start(next.m_timeout);
+    send(next, call);
+    if (!call.m_cause.empty())
+        call.m_timeout.start(core::duration{0});
+}
+
 auto http_client::failure(active_call const& call) const -> http_result
 {
     auto result = http_result{};
-    result.m_run = call.m_connection->m_has_written
+    result.m_run = call.m_connection->m_has_written && !call.m_unsent
                        ? core::run_state::may_have_run
                        : core::run_state::not_run;
     result.m_error = m_target.text() + ": " + call.m_cause;
+    result.m_is_timeout = call.m_cause == deadline_passed;
     return result;
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,6 +39,22 @@
     std::size_t m_max_idle_connections = 16;
 };
 
+/// A call that is sent first on each new connection and shows which instance of
+/// the server answers there.
+struct connection_check
+{
+    /// Identity of the intended instance. A connection is reused only for calls
+    /// that intend the same instance.
+    std::string m_instance;
+    std::string m_path = "/";
+    http_headers m_headers;
+    std::string m_body;
+    /// True if the answer comes from the intended instance.
+    std::function<bool(http_answer const&)> m_accepts;
+    /// Limit for connecting and the check; 0 for none.
+    core::duration m_timeout{0};
+};
+
 /// A request to send.
 struct http_call
 {
@@ -47,8 +64,13 @@
     std::string m_path = "/";
     http_headers m_headers;
     std::string m_body;
-    /// Limit for the whole call, including connecting; 0 for none.
+    /// Limit for the whole call, including connecting; 0 for none. Starts after
+    /// the check, if there is one.
     core::duration m_timeout{0};
+    /// If set, the call is sent only on a connection that passed this check. A
+    /// connection that the server closes after each answer can't be checked;
+    /// the call then follows on another one.
+    std::optional<connection_check> m_check;
 };
 
 /// How a call ended.
@@ -57,10 +79,13 @@
     /// `ran` if a complete answer arrived, `not_run` if no byte of the request
     /// was written, else `may_have_run`.
     core::run_state m_run = core::run_state::not_run;
-    /// Valid only if a complete answer arrived.
+    /// Valid only if a complete answer arrived. With `not_run`, the answer to
+    /// the connection check that failed; status 0 if there was none.
     http_answer m_answer;
     /// Cause of a failure; empty if a complete answer arrived.
     std::string m_error;
+    /// The time limit of the call or of its connection check has passed.
+    bool m_is_timeout = false;
 };
 
 /// Sends calls to one HTTP server. Never retries a call.
@@ -91,9 +116,16 @@
     struct connection;
     struct active_call;
 
-    auto acquire_connection() -> std::unique_ptr<connection>;
+    auto acquire_connection(std::string const& instance)
+        -> std::unique_ptr<connection>;
+    auto open_connection(std::string const& instance)
+        -> std::unique_ptr<connection>;
+    /// Sets `active_call::m_cause` if the call fails at once.
+    auto send(http_call const& call, active_call& state) -> void;
     auto make_request(http_call const& call, active_call& state) -> bool;
     auto answered(active_call& call, evhttp_request* answer) -> void;
+    /// Sends the call if the answer to its connection check is accepted.
+    auto checked(active_call& call, http_answer answer) -> void;
     auto failure(active_call const& call) const -> http_result;
     /// Aborts a call. Not to be called from within evhttp's callbacks.
     auto interrupt(call_id id, std::string_view cause) -> void;
--- a/src/platform/worker_api.cpp
+++ b/src/platform/worker_api.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <array>
 #include <string>
 #include <utility>
 
@@ -21,6 +22,12 @@
 constexpr auto poll_path = "/api/hold";
 constexpr auto expected_instance_header = "X-Hickorylatch-Expected-Instance";
 
+// A lost answer to the check of a connection delays an order by the first
+// timeouts. The last one lets orders reach a slow worker.
+constexpr auto check_timeouts = std::to_array<core::duration>(
+    {core::worker_answer_timeout, core::worker_answer_timeout,
+     5 * core::worker_answer_timeout});
+
 // Limit for the identity of a worker that has just reported. Nothing waits for
 // it, so it allows for a slow worker.
 constexpr auto identity_timeout =
@@ -169,9 +176,43 @@
                       {expected_instance_header, target.m_worker}};
     call.m_body = std::move(body);
     call.m_timeout = timeout;
+    // The header names only the worker, and a restarted worker keeps its name.
+    // A connection leads to one process, so one check holds for all its calls.
+    auto check = net::connection_check{};
+    check.m_instance =
+        target.m_worker + "/" + std::to_string(target.m_incarnation);
+    check.m_path = poll_path;
+    check.m_headers = call.m_headers;
+    auto probe = core::poll_runs{};
+    probe.m_target = target;
+    check.m_body = serialize_poll(probe);
+    check.m_accepts =
+        [incarnation = target.m_incarnation](net::http_answer const& answer)
+    {
+        return is_from(answer, incarnation);
+    };
+    call.m_check = std::move(check);
     return call;
 }
 
+auto worker_api::send(net::http_client& client, net::http_call call,
+                      net::http_client::callback finished, std::size_t attempt)
+    -> void
+{
+    call.m_check->m_timeout = check_timeouts.at(attempt);
+    client.start(call,
+                 [this, &client, call, finished = std::move(finished),
+                  attempt](net::http_result const& result)
+                 {
+                     auto const is_unchecked =
+                         result.m_run == core::run_state::not_run &&
+                         result.m_is_timeout;
+                     if (is_unchecked && attempt + 1 < check_timeouts.size())
+                         return send(client, call, finished, attempt + 1);
+                     finished(result);
+                 });
+}
+
 auto worker_api::start(core::start_run const& order) -> void
 {
     auto const handle_result =
@@ -182,10 +223,10 @@
         m_process.handle_event(core::run_start_answered{
             run, to_answer(result, reply), reply.m_clock_ms, incarnation});
     };
-    m_order_client.start(make_call("/api/run-start", order.m_target,
-                                   serialize_start(order),
-                                   core::worker_answer_timeout),
-                         handle_result);
+    send(m_order_client,
+         make_call("/api/run-start", order.m_target, serialize_start(order),
+                   core::worker_answer_timeout),
+         handle_result);
 }
 
 auto worker_api::stop(core::stop_run const& order) -> void
@@ -198,22 +239,22 @@
         m_process.handle_event(core::run_stop_answered{
             run, to_answer(result, reply), reply.m_clock_ms, incarnation});
     };
-    m_order_client.start(make_call("/api/run-stop", order.m_target,
-                                   serialize_stop(order),
-                                   core::worker_answer_timeout),
-                         handle_result);
+    send(m_order_client,
+         make_call("/api/run-stop", order.m_target, serialize_stop(order),
+                   core::worker_answer_timeout),
+         handle_result);
 }
 
 auto worker_api::poll(core::poll_runs const& order) -> void
 {
     auto const timeout = std::chrono::milliseconds{order.m_wait_ms} +
                          core::worker_answer_timeout;
-    m_poll_client.start(
-        make_call(poll_path, order.m_target, serialize_poll(order), timeout),
-        [this, order](net::http_result const& result)
-        {
-            handle_poll_result(order, result);
-        });
+    send(m_poll_client,
+         make_call(poll_path, order.m_target, serialize_poll(order), timeout),
+         [this, order](net::http_result const& result)
+         {
+             handle_poll_result(order, result);
+         });
 }
 
 auto worker_api::check(core::check_worker const& order) -> void
@@ -222,6 +263,7 @@
     probe.m_target = order.m_target;
     auto call = make_call(poll_path, order.m_target, serialize_poll(probe),
                           identity_timeout);
+    call.m_check.reset();
     m_check_client.start(
         call,
         [this, target = order.m_target](net::http_result const& result)
--- a/src/platform/worker_api.hpp
+++ b/src/platform/worker_api.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
@@ -39,6 +40,11 @@
     auto stop(core::stop_run const& order) -> void;
     auto poll(core::poll_runs const& order) -> void;
     auto check(core::check_worker const& order) -> void;
+    /// Sends an order. It is sent again, up to a limit, while nothing shows
+    /// which incarnation of the worker answers.
+    auto send(net::http_client& client, net::http_call call,
+              net::http_client::callback finished, std::size_t attempt = 0)
+        -> void;
     auto handle_poll_result(core::poll_runs const& order,
                             net::http_result const& result) -> void;
     [[nodiscard]] static auto
--- a/tests/system/soak/faults.py
+++ b/tests/system/soak/faults.py
@@ -194,8 +194,8 @@
         if not worker.is_up:
             return "none"
         await worker.crash()
-        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
-        await worker.start()
+        await asyncio.sleep(self.rng.uniform(0.02, 3.0))
+        await worker.start(first_report_delay_s=self.rng.uniform(0.0, 1.0))
         return worker.name
 
     async def send_foreign_report(self):
