Wait for space also at syncs, new files and folders

Callers would see: a control process ends when its disk is full at the wrong moment, and with several disks full in turn changes stay unanswered. Operators of similar systems reported the latter; it has not been seen here.

Cause: only a write and the reservation of a segment waited for space. A file system may report the same by a sync, by the creation of a file or a folder, or as an exceeded quota; these were fatal errors.

Change: the wait covers whole idempotent steps: write and sync of a record, creation of a file, reservation of a segment, opening of the folder. After a sync without space the record is written again, as the kernel may have dropped its pages. Other sync errors stay fatal.

--- a/src/storage/commit_benchmark.cpp
+++ b/src/storage/commit_benchmark.cpp
@@ -198,7 +198,7 @@
     auto const bytes = std::string(512, 'x');
     auto const flags = O_RDWR | O_CREAT | O_TRUNC;
     BOOST_LEAF_AUTO(reserved, file::open(folder / "reserved", flags));
-    BOOST_LEAF_CHECK(reserved.preallocate(writes * bytes.size(), {}));
+    BOOST_LEAF_CHECK(reserved.preallocate(writes * bytes.size()));
     BOOST_LEAF_AUTO(growing, file::open(folder / "growing", flags));
     auto times = std::array<std::vector<double>, 2>{};
     for (auto write = std::size_t{0}; write < writes; ++write)
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -55,7 +55,7 @@
     if (!fs::create_directories(path, code) && !code)
         return {};
     if (code)
-        return fail(path, 0, "cannot create the folder: " + code.message());
+        return fail_with_code(path, "creation of the folder", code);
     return sync_folder(path / "..", options);
 }
 
@@ -91,10 +91,20 @@
 auto data_folder::open(fs::path path, storage_options options)
     -> boost::leaf::result<opened_folder>
 {
-    BOOST_LEAF_CHECK(create_folder(path, options));
+    auto const waiter = options.m_space_waiter;
+    BOOST_LEAF_CHECK(retry_while_full(waiter.get(),
+                                      [&]
+                                      {
+                                          return create_folder(path, options);
+                                      }));
     auto folder = data_folder{std::move(path), std::move(options)};
-    BOOST_LEAF_ASSIGN(folder.m_lock,
-                      file::open(folder.m_path / "lock", O_RDWR | O_CREAT));
+    auto const open_lock = [&]() -> boost::leaf::result<void>
+    {
+        BOOST_LEAF_ASSIGN(folder.m_lock,
+                          file::open(folder.m_path / "lock", O_RDWR | O_CREAT));
+        return {};
+    };
+    BOOST_LEAF_CHECK(retry_while_full(waiter.get(), open_lock));
     BOOST_LEAF_CHECK(folder.m_lock.lock());
     BOOST_LEAF_CHECK(remove_temporary(folder.m_path));
     BOOST_LEAF_AUTO(contents, read_folder(folder.m_path));
@@ -227,9 +237,13 @@
     auto const record = encode_record(
         {m_identity, m_segments.back().m_sequence, m_active_segment_size},
         payload);
-    BOOST_LEAF_CHECK(
-        m_active_segment.write(m_active_segment_size, record, m_options));
-    BOOST_LEAF_CHECK(m_active_segment.sync_data(m_options));
+    auto const write = [&]() -> boost::leaf::result<void>
+    {
+        BOOST_LEAF_CHECK(
+            m_active_segment.write(m_active_segment_size, record, m_options));
+        return m_active_segment.sync_data(m_options);
+    };
+    BOOST_LEAF_CHECK(retry_while_full(m_options.m_space_waiter.get(), write));
     m_active_segment_size += record.size();
     return {};
 }
@@ -271,7 +285,12 @@
 {
     if (!m_options.m_preallocate)
         return {};
-    return m_active_segment.preallocate(m_options.m_segment_bytes, m_options);
+    return retry_while_full(m_options.m_space_waiter.get(),
+                            [&]
+                            {
+                                return m_active_segment.preallocate(
+                                    m_options.m_segment_bytes);
+                            });
 }
 
 auto data_folder::remove_obsolete_files() -> boost::leaf::result<void>
--- a/src/storage/file.cpp
+++ b/src/storage/file.cpp
@@ -16,19 +16,6 @@
 namespace hickorylatch::storage
 {
 
-namespace
-{
-
-/// If the last call failed because the disk was full, waits before a retry.
-/// False if the call should not be retried. Reads `errno`.
-auto wait_for_space(storage_options const& options) -> bool
-{
-    return errno == ENOSPC && options.m_space_waiter &&
-           options.m_space_waiter->wait();
-}
-
-} // namespace
-
 file::file(file&& other) noexcept
     : m_path{std::move(other.m_path)}, m_descriptor{std::exchange(
                                            other.m_descriptor, -1)}
@@ -73,7 +60,7 @@
                                   static_cast<off_t>(offset));
         if (fault != 0)
             errno = fault;
-        if (written < 0 && (errno == EINTR || wait_for_space(options)))
+        if (written < 0 && errno == EINTR)
             continue;
         if (written < 0)
             return fail_with_errno(m_path, "write");
@@ -90,16 +77,11 @@
     return {};
 }
 
-auto file::preallocate(std::uint64_t size, storage_options const& options)
-    -> boost::leaf::result<void>
+auto file::preallocate(std::uint64_t size) -> boost::leaf::result<void>
 {
-    while (::fallocate(m_descriptor, 0, 0, static_cast<off_t>(size)) != 0)
-    {
-        if (errno == EOPNOTSUPP)
-            return {};
-        if (!wait_for_space(options))
-            return fail_with_errno(m_path, "preallocate");
-    }
+    if (::fallocate(m_descriptor, 0, 0, static_cast<off_t>(size)) != 0 &&
+        errno != EOPNOTSUPP)
+        return fail_with_errno(m_path, "preallocate");
     return {};
 }
 
@@ -188,15 +170,19 @@
 {
     auto temporary = path;
     temporary += temporary_suffix;
-    BOOST_LEAF_AUTO(created,
-                    file::open(temporary, O_WRONLY | O_CREAT | O_TRUNC));
-    BOOST_LEAF_CHECK(created.write(0, bytes, options));
-    BOOST_LEAF_CHECK(created.sync_all(options));
-    auto code = std::error_code{};
-    std::filesystem::rename(temporary, path, code);
-    if (code)
-        return fail(path, 0, "rename failed: " + code.message());
-    return sync_folder(path.parent_path(), options);
+    auto const create = [&]() -> boost::leaf::result<void>
+    {
+        BOOST_LEAF_AUTO(created,
+                        file::open(temporary, O_WRONLY | O_CREAT | O_TRUNC));
+        BOOST_LEAF_CHECK(created.write(0, bytes, options));
+        BOOST_LEAF_CHECK(created.sync_all(options));
+        auto code = std::error_code{};
+        std::filesystem::rename(temporary, path, code);
+        if (code)
+            return fail_with_code(path, "rename", code);
+        return sync_folder(path.parent_path(), options);
+    };
+    return retry_while_full(options.m_space_waiter.get(), create);
 }
 
 } // namespace hickorylatch::storage
--- a/src/storage/file.hpp
+++ b/src/storage/file.hpp
@@ -29,17 +29,15 @@
     [[nodiscard]] static auto open(std::filesystem::path path, int flags)
         -> boost::leaf::result<file>;
 
-    /// Writes all bytes at the offset. If the options have a space waiter,
-    /// retries while the disk is full.
+    /// Writes all bytes at the offset.
     [[nodiscard]] auto write(std::uint64_t offset, std::string_view bytes,
                              storage_options const& options)
         -> boost::leaf::result<void>;
     [[nodiscard]] auto truncate(std::uint64_t size)
         -> boost::leaf::result<void>;
     /// Extends the file with zeros to at least this size. Does nothing if the
-    /// file system cannot reserve space. Retries like `write`.
-    [[nodiscard]] auto preallocate(std::uint64_t size,
-                                   storage_options const& options)
+    /// file system cannot reserve space.
+    [[nodiscard]] auto preallocate(std::uint64_t size)
         -> boost::leaf::result<void>;
     /// Makes the contents and the size durable. After a failure the state of
     /// the file is unknown: the kernel may have dropped the dirty pages, so a
@@ -76,7 +74,8 @@
 inline constexpr auto temporary_suffix = std::string_view{".tmp"};
 
 /// Creates a file atomically and durably: writes a temporary file, syncs it,
-/// renames it and syncs the folder.
+/// renames it and syncs the folder. Waits while the disk is full if the options
+/// have a space waiter.
 [[nodiscard]] auto create_file(std::filesystem::path const& path,
                                std::string_view bytes,
                                storage_options const& options)
--- a/src/storage/storage_error.cpp
+++ b/src/storage/storage_error.cpp
@@ -20,11 +20,21 @@
         storage_error{file, offset, std::move(reason)});
 }
 
+auto fail_with_code(std::filesystem::path const& file,
+                    std::string const& operation, std::error_code code)
+    -> boost::leaf::error_id
+{
+    auto const is_disk_full =
+        code == std::errc::no_space_on_device ||
+        code == std::error_code{EDQUOT, std::generic_category()};
+    return boost::leaf::new_error(storage_error{
+        file, 0, operation + " failed: " + code.message(), is_disk_full});
+}
+
 auto fail_with_errno(std::filesystem::path const& file,
                      std::string const& operation) -> boost::leaf::error_id
 {
-    auto const code = std::error_code{errno, std::generic_category()};
-    return fail(file, 0, operation + " failed: " + code.message());
+    return fail_with_code(file, operation, {errno, std::generic_category()});
 }
 
 } // namespace hickorylatch::storage
--- a/src/storage/storage_options.hpp
+++ b/src/storage/storage_options.hpp
@@ -33,7 +33,7 @@
     /// Called before each write; returns 0 or the `errno` value that the write
     /// fails with. For tests of failing disks.
     std::function<auto()->int> m_injected_write_error;
-    /// Delays and retries writes to a full disk; if null, they fail.
+    /// Delays and retries operations on a full disk; if null, they fail.
     std::shared_ptr<space_waiter> m_space_waiter;
 };
 
--- a/tests/storage/test_data_folder.cpp
+++ b/tests/storage/test_data_folder.cpp
@@ -173,6 +173,39 @@
     BOOST_TEST(again.m_value->m_folder.last_index() == 3U);
 }
 
+// Guards against a replica that exits when its disk is full: file systems also
+// report that by a sync, and the pages that were to be written may be dropped.
+BOOST_AUTO_TEST_CASE(a_sync_waits_for_space_and_writes_again)
+{
+    auto const scratch = scratch_folder{};
+    auto full_disk_errors = 0;
+    auto writes = 0;
+    auto options = storage::storage_options{};
+    options.m_space_waiter = std::make_shared<storage::space_waiter>();
+    options.m_sync_override = [&](int) -> int
+    {
+        errno = full_disk_errors % 2 == 0 ? ENOSPC : EDQUOT;
+        return full_disk_errors > 0 && full_disk_errors-- > 0 ? -1 : 0;
+    };
+    options.m_injected_write_error = [&]
+    {
+        ++writes;
+        return 0;
+    };
+    auto opened = open_folder(scratch.path(), options);
+    BOOST_REQUIRE_MESSAGE(opened.m_value, opened.m_error);
+    full_disk_errors = 2;
+    writes = 0;
+    BOOST_TEST(
+        !!opened.m_value->m_folder.append(std::vector{sample_write(1, 2, 1)}));
+    BOOST_TEST(writes == 3);
+    BOOST_TEST(options.m_space_waiter->wait_count() == 2U);
+    full_disk_errors = 1;
+    BOOST_TEST(!!opened.m_value->m_folder.save_snapshot(sample_snapshot(1, 1)));
+    BOOST_TEST(
+        !!opened.m_value->m_folder.append(std::vector{sample_write(3, 3, 1)}));
+}
+
 // Guards against more than one sync for a group of writes.
 BOOST_AUTO_TEST_CASE(a_group_of_writes_is_synced_once)
 {
