Show that odd worker reports do no harm; describe confirmed reports

Operators of similar systems saw processes end, or stop following a list, after one entry that was very deeply nested, had a number too large or a port out of range. Here a worker's report is rejected with 400 in each of these cases (a test that passes on the code before, too), and the port is not read.

test_executor.cpp: the steps of a worker's restart stand once.

--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -446,6 +446,18 @@
         m_out.clear();
     }
 
+    /// Incarnation 2 of the worker reports and confirms it.
+    auto restart_worker() -> void
+    {
+        auto report = test::desk_worker_report();
+        report.m_incarnation = 2;
+        m_agent.reported(milliseconds{1'020}, report, m_out);
+        m_agent.answered(
+            milliseconds{1'021},
+            core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
+            m_out);
+    }
+
     core::effects m_out;
     core::executor m_agent;
     core::worker_run m_run;
@@ -498,13 +510,7 @@
 BOOST_AUTO_TEST_CASE(a_new_incarnation_decides_by_its_list_which_runs_continue)
 {
     auto agent = agent_with_run{};
-    auto report = test::desk_worker_report();
-    report.m_incarnation = 2;
-    agent.m_agent.reported(milliseconds{1'020}, report, agent.m_out);
-    agent.m_agent.answered(
-        milliseconds{1'021},
-        core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
-        agent.m_out);
+    agent.restart_worker();
     BOOST_TEST(agent.m_agent.worker()->m_incarnation == 2);
     BOOST_TEST(agent.m_agent.running() == 1U);
     auto const first = *test::last<core::poll_runs>(agent.m_out);
@@ -589,13 +595,7 @@
 BOOST_AUTO_TEST_CASE(answers_of_an_earlier_incarnation_are_ignored)
 {
     auto agent = agent_with_run{};
-    auto report = test::desk_worker_report();
-    report.m_incarnation = 2;
-    agent.m_agent.reported(milliseconds{1'020}, report, agent.m_out);
-    agent.m_agent.answered(
-        milliseconds{1'021},
-        core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
-        agent.m_out);
+    agent.restart_worker();
     agent.m_agent.answered(
         milliseconds{1'022},
         core::run_stop_answered{agent.m_run, core::worker_answer::accepted,
--- a/tests/platform/test_bodies.cpp
+++ b/tests/platform/test_bodies.cpp
@@ -184,6 +184,31 @@
         BOOST_TEST(!parse_report(body).m_value, body);
 }
 
+// Guards against an agent that ends when another process writes a report with
+// very deep nesting, a number out of range or an invalid port.
+BOOST_AUTO_TEST_CASE(odd_worker_reports_do_no_harm)
+{
+    auto const make_body = [](std::string const& member)
+    {
+        return R"({"service":"s","state":"ready","capacity":{"cpu":1},)"
+               R"("sequence":1,"clockMs":1,"born":17,)" +
+               member + "}";
+    };
+    auto constexpr depth = std::size_t{100'000};
+    auto const nested = std::string(depth, '[') + std::string(depth, ']');
+    for (auto const& member :
+         {"\"address\":" + nested, std::string{R"("born":1e300)"},
+          std::string{R"("born":36893488147419103232)"},
+          std::string{R"("clockMs":1e999)"},
+          std::string{R"("sequence":36893488147419103232)"},
+          std::string{R"("capacity":{"cpu":4294967296})"}})
+        BOOST_TEST(!parse_report(make_body(member)).m_value,
+                   member.substr(0, 40));
+    // The address is not used: an agent knows that of its worker.
+    BOOST_TEST(
+        !!parse_report(make_body(R"("address":"10.0.0.1:99999")")).m_value);
+}
+
 BOOST_AUTO_TEST_CASE(poll_answers_are_translated)
 {
     auto const result = parse_poll_answer(
