--- a/review/common_2/system.py
+++ b/review/common_2/system.py
@@ -133,6 +133,7 @@
             for number, (side, (_, labels)) in
             enumerate(zip(self.sides, minions), 1)]
         self.version = 0
+        self.is_first_start = True
 
     def settings(self, process):
         machine = process.machine
@@ -143,7 +144,9 @@
             f'ip = "{machine.ip}"', f'zone = "{machine.zone}"',
             'region = "semenanjung"',
             f"portRange = [{FIRST_PORT},{FIRST_PORT + 15}]",
-            f"seeds = [{seeds}]", "bootstrap = true", "heartbeatMs = 1500",
+            f"seeds = [{seeds}]",
+            f"bootstrap = {str(self.is_first_start).lower()}",
+            "heartbeatMs = 1500",
             'commands = "invocation"']
         if process.role == "control":
             data = self.folder / f"{machine.name}-data"
