Take only the incarnation that was asked as evidence for "not run"

Cause: the agent kept such a start as `start_unknown` when the next incarnation of the worker was confirmed, and ended it as `refused` once a list of that incarnation did not show the run. A list, or the answer to a stop, says nothing about an earlier incarnation. The entry takes `refused` as "never started", so the job's deadline was answered "not run".

Change: a run whose start was ordered at an earlier incarnation ends as `lapsed` with a log line `start_unconfirmed`. `refused` now means: not ordered at the worker, or confirmed by the incarnation that was asked. So that true refusals stay refusals, a late answer of the earlier incarnation counts if it says that the order was rejected or never sent; it was dropped before, and the same lists then ended the run.

--- a/src/core/model/event.cpp
+++ b/src/core/model/event.cpp
@@ -14,4 +14,10 @@
     return index < names.size() ? names.at(index) : "unknown";
 }
 
+auto is_rejection(worker_answer answer) -> bool
+{
+    return answer != worker_answer::accepted &&
+           answer != worker_answer::unknown;
+}
+
 } // namespace hickorylatch::core
--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -173,6 +173,9 @@
 
 [[nodiscard]] auto to_string(worker_answer answer) -> std::string_view;
 
+/// True if an order with this answer was not executed and will not be.
+[[nodiscard]] auto is_rejection(worker_answer answer) -> bool;
+
 /// A worker answered `start_run`.
 struct run_start_answered
 {
--- a/src/core/model/job.hpp
+++ b/src/core/model/job.hpp
@@ -118,8 +118,10 @@
     succeeded,
     failed,  ///< The task or the worker failed.
     stopped, ///< Stopped on request.
-    lapsed,  ///< Its lease expired, or the worker is gone.
-    refused  ///< It never started.
+    lapsed,  ///< Its lease expired, or the worker is gone. It may not have
+             ///< started.
+    refused  ///< It never started: it was not ordered at the worker, or the
+             ///< incarnation of the worker that was asked has confirmed it.
 };
 
 [[nodiscard]] auto to_string(run_outcome outcome) -> std::string_view;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -645,6 +645,7 @@
         run.m_start_unknown_since = now;
         run.m_revoked_at = never;
         run.m_stop_retry_at = now;
+        run.m_is_of_earlier_incarnation = true;
     }
 }
 
@@ -672,16 +673,23 @@
 auto executor::answered(time_point now, run_start_answered const& answer,
                         effects& out) -> void
 {
-    if (is_outdated(answer.m_incarnation))
-        return;
-    if (answer.m_answer != worker_answer::other_lifetime)
+    auto const is_late = is_outdated(answer.m_incarnation);
+    if (!is_late && answer.m_answer != worker_answer::other_lifetime)
         m_clock.observe(now, answer.m_clock_ms);
     auto const found =
         m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
-    if (found == m_live.end() || found->second.m_number != answer.m_run.m_run ||
-        found->second.m_state != run_state::starting)
+    if (found == m_live.end() || found->second.m_number != answer.m_run.m_run)
         return;
     auto& run = found->second;
+    if (is_late && run.m_is_of_earlier_incarnation &&
+        run.m_state == run_state::start_unknown &&
+        is_rejection(answer.m_answer))
+    {
+        start_rejected(now, found, answer.m_answer, out);
+        return process_pending(now, out);
+    }
+    if (is_late || run.m_state != run_state::starting)
+        return;
     m_is_load_changed = true;
     switch (answer.m_answer)
     {
@@ -707,18 +715,24 @@
         order_start(now, *found, out);
         break;
     default:
-        out.emplace_back(
-            log_line{log_level::warning,
-                     "run_not_started",
-                     {{"run", run_field(answer.m_run.m_job_id,
-                                        answer.m_run.m_task, run.m_number)},
-                      {"answer", std::string{to_string(answer.m_answer)}}}});
-        finish(now, found, run_outcome::refused, reason::no_capacity, out);
-        m_polls.request_list();
+        start_rejected(now, found, answer.m_answer, out);
     }
     process_pending(now, out);
 }
 
+auto executor::start_rejected(time_point now, live_runs::iterator rejected,
+                              worker_answer answer, effects& out) -> void
+{
+    auto const& [key, run] = *rejected;
+    out.emplace_back(
+        log_line{log_level::warning,
+                 "run_not_started",
+                 {{"run", run_field(key.first, key.second, run.m_number)},
+                  {"answer", std::string{to_string(answer)}}}});
+    finish(now, rejected, run_outcome::refused, reason::no_capacity, out);
+    m_polls.request_list();
+}
+
 auto executor::answered(time_point now, run_stop_answered const& answer,
                         effects& out) -> void
 {
@@ -863,6 +877,17 @@
     auto& state = run->second;
     if (is_listed)
         confirm_start(now, *run, out);
+    else if (sent_at >= state.m_revoked_at && state.m_is_of_earlier_incarnation)
+    {
+        out.emplace_back(log_line{
+            log_level::warning,
+            "start_unconfirmed",
+            {{"run",
+              run_field(run->first.first, run->first.second, state.m_number)},
+             {"worker", m_worker->m_name},
+             {"incarnation", std::to_string(m_worker->m_incarnation)}}});
+        finish(now, run, run_outcome::lapsed, reason::agent_lost, out);
+    }
     else if (sent_at >= state.m_revoked_at)
         finish(now, run, run_outcome::refused, reason::agent_lost, out);
     else if (sent_at >= state.m_start_unknown_since &&
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -57,6 +57,8 @@
         -> void;
     auto left(time_point now, worker_left const& departure, effects& out)
         -> void;
+    /// A late answer of an earlier incarnation counts only if it says that the
+    /// run was not started there.
     auto answered(time_point now, run_start_answered const& answer,
                   effects& out) -> void;
     auto answered(time_point now, run_stop_answered const& answer, effects& out)
@@ -119,6 +121,9 @@
         bool m_is_superseded = false;
         /// To be stopped as soon as its start is confirmed.
         bool m_is_stop_requested = false;
+        /// Its start was ordered at an earlier incarnation of the worker. The
+        /// current one can't tell whether it started there.
+        bool m_is_of_earlier_incarnation = false;
         /// Since when it is unknown whether it has started.
         time_point m_start_unknown_since = never;
         /// From then on it can no longer start: the worker confirmed this, or
@@ -223,6 +228,9 @@
                      effects& out) -> void;
     auto confirm_start(time_point now, live_runs::value_type& started,
                        effects& out) -> void;
+    /// The order to start was rejected or not sent.
+    auto start_rejected(time_point now, live_runs::iterator rejected,
+                        worker_answer answer, effects& out) -> void;
     auto order_stop(time_point now, live_runs::value_type& wanted, effects& out)
         -> void;
     /// `number` is the number of the end in the worker's list; 0 if it is not
@@ -240,7 +248,8 @@
         -> void;
     auto handle_list(time_point now, time_point sent_at,
                      runs_polled const& answer, effects& out) -> void;
-    /// Uses a list to find out whether a run has started.
+    /// Uses a list to find out whether a run has started. A list of a later
+    /// incarnation than the start was ordered at leaves that unknown.
     auto resolve_unknown_start(time_point now, live_runs::iterator run,
                                bool is_listed, time_point sent_at, effects& out)
         -> void;
--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -48,6 +48,18 @@
     return agent;
 }
 
+/// The last run end that was reported to the entry; null if there is none.
+auto last_end(core::effects const& out) -> core::run_end const*
+{
+    core::run_end const* found = nullptr;
+    for (auto const& each : out)
+        if (auto const* sent = std::get_if<core::send>(&each))
+            if (auto const* ends =
+                    std::get_if<core::runs_ended>(&sent->m_message))
+                found = &ends->m_ends.back();
+    return found;
+}
+
 auto make_order() -> core::order_runs
 {
     auto order = core::order_runs{};
@@ -430,6 +442,66 @@
 namespace
 {
 
+/// Incarnation 2 of worker "w" reports and confirms it.
+auto restart_worker(core::executor& agent, core::effects& out) -> void
+{
+    auto report = test::desk_worker_report();
+    report.m_incarnation = 2;
+    agent.reported(milliseconds{1'020}, report, out);
+    agent.answered(
+        milliseconds{1'021},
+        core::worker_checked{"w", 2, core::worker_answer::accepted, 10}, out);
+}
+
+/// An agent that ordered the start of one run at incarnation 1 of worker "w"
+/// and got no answer yet.
+struct agent_with_start
+{
+    agent_with_start() : m_agent{make_agent(m_out)}
+    {
+        auto order = make_order();
+        order.m_time_left_ms = 60'000;
+        m_agent.receive(milliseconds{1'010}, entry, order, m_out);
+        m_run = test::last<core::start_run>(m_out)->m_run;
+        m_out.clear();
+    }
+
+    auto start_answered(core::worker_answer answer) -> void
+    {
+        m_agent.answered(milliseconds{1'022},
+                         core::run_start_answered{m_run, answer, 0, 1}, m_out);
+    }
+
+    /// The worker lists no runs, confirms the stop that the agent then orders,
+    /// and lists none again.
+    auto list_no_runs(std::int64_t incarnation) -> void
+    {
+        answer_poll(milliseconds{1'030}, incarnation);
+        if (test::last<core::stop_run>(m_out) == nullptr)
+            return;
+        m_agent.answered(milliseconds{1'031},
+                         core::run_stop_answered{m_run,
+                                                 core::worker_answer::accepted,
+                                                 1'031, incarnation},
+                         m_out);
+        answer_poll(milliseconds{1'032}, incarnation);
+        m_agent.tick(milliseconds{1'200}, m_out);
+        answer_poll(milliseconds{1'201}, incarnation);
+    }
+
+    auto answer_poll(core::time_point now, std::int64_t incarnation) -> void
+    {
+        auto list =
+            test::poll_answer(test::last<core::poll_runs>(m_out)->m_poll);
+        list.m_incarnation = incarnation;
+        m_agent.answered(now, list, m_out);
+    }
+
+    core::effects m_out;
+    core::executor m_agent;
+    core::worker_run m_run;
+};
+
 /// An agent with one run in progress at worker "w".
 struct agent_with_run
 {
@@ -449,13 +521,7 @@
     /// Incarnation 2 of the worker reports and confirms it.
     auto restart_worker() -> void
     {
-        auto report = test::desk_worker_report();
-        report.m_incarnation = 2;
-        m_agent.reported(milliseconds{1'020}, report, m_out);
-        m_agent.answered(
-            milliseconds{1'021},
-            core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
-            m_out);
+        ::restart_worker(m_agent, m_out);
     }
 
     core::effects m_out;
@@ -530,6 +596,58 @@
     BOOST_TEST(count_ends(agent.m_out) == 1);
 }
 
+// Guards against "not run" for a task that a worker began and crashed with: the
+// lists and stops of the next incarnation say nothing about the one before.
+BOOST_AUTO_TEST_CASE(only_the_incarnation_that_was_asked_refutes_a_start)
+{
+    for (auto const is_answer_late : {false, true})
+    {
+        auto agent = agent_with_start{};
+        if (!is_answer_late)
+            agent.start_answered(core::worker_answer::unknown);
+        restart_worker(agent.m_agent, agent.m_out);
+        if (is_answer_late)
+            agent.start_answered(core::worker_answer::unknown);
+        agent.list_no_runs(2);
+        BOOST_TEST(agent.m_agent.running() == 0U);
+        auto const* end = last_end(agent.m_out);
+        BOOST_REQUIRE(end != nullptr);
+        BOOST_TEST((end->m_outcome == core::run_outcome::lapsed));
+        BOOST_TEST((end->m_reason == core::reason::agent_lost));
+    }
+}
+
+// Guards against a refusal that is answered as uncertain: the incarnation that
+// was asked has confirmed that the run can't start any more.
+BOOST_AUTO_TEST_CASE(a_start_that_its_worker_refutes_is_refused)
+{
+    auto agent = agent_with_start{};
+    agent.start_answered(core::worker_answer::unknown);
+    agent.list_no_runs(1);
+    auto const* end = last_end(agent.m_out);
+    BOOST_REQUIRE(end != nullptr);
+    BOOST_TEST((end->m_outcome == core::run_outcome::refused));
+}
+
+// Guards against a refusal that is answered as uncertain: the answer that the
+// order was not sent, or that the worker rejected it, arrives after the next
+// incarnation has reported.
+BOOST_AUTO_TEST_CASE(a_late_rejection_by_an_earlier_incarnation_counts)
+{
+    for (auto const answer :
+         {core::worker_answer::unreachable, core::worker_answer::restarted,
+          core::worker_answer::unhealthy, core::worker_answer::no_room})
+    {
+        auto agent = agent_with_start{};
+        restart_worker(agent.m_agent, agent.m_out);
+        agent.start_answered(answer);
+        BOOST_TEST(agent.m_agent.running() == 0U);
+        auto const* end = last_end(agent.m_out);
+        BOOST_REQUIRE(end != nullptr);
+        BOOST_TEST((end->m_outcome == core::run_outcome::refused));
+    }
+}
+
 // Guards against two runs of a task: a delayed departure of an earlier
 // incarnation counted as the end of all runs.
 BOOST_AUTO_TEST_CASE(a_departure_ends_no_run_that_the_worker_still_lists)
