Count an order as not executed only by the statuses that promise it

Callers could see "not run" for a task that its worker began and then answered with an error: each status without a meaning of its own (500, 502, 404, 302) was taken as "unhealthy", which ends the run as refused.

Cause: the default of to_answer. The platform promises "has then done nothing" for 429 and 503 only; 400, 409 and 421 are rejections.

Change: other statuses leave the order unknown, so that the worker's lists and a stop decide. If the order itself was not sent, as the check of the connection got that status, it counts as never sent, as before.

Evidence: an_unexpected_status_leaves_the_order_unknown failed with the old default for all six statuses and passes now.

--- a/src/platform/worker_api.cpp
+++ b/src/platform/worker_api.cpp
@@ -43,7 +43,8 @@
            (incarnation == 0 || answered == 0 || answered == incarnation);
 }
 
-/// Converts the HTTP result of an order to the worker's answer.
+} // namespace
+
 auto to_answer(net::http_result const& result, worker_reply const& reply)
     -> core::worker_answer
 {
@@ -67,13 +68,15 @@
         return other_lifetime;
     case 400:
         return invalid;
-    default:
+    case 429:
+    case 503:
         return unhealthy;
+    default:
+        // Only the statuses above promise that the order was not executed.
+        return is_sent ? unknown : unreachable;
     }
 }
 
-} // namespace
-
 worker_api::worker_api(process::process& target, net::socket_address worker)
     : m_process{target}, m_poll_client{target.loop(),
                                        worker,
--- a/src/platform/worker_api.hpp
+++ b/src/platform/worker_api.hpp
@@ -16,6 +16,13 @@
 namespace hickorylatch::platform
 {
 
+struct worker_reply;
+
+/// The worker's answer to an order, from the HTTP result of the call and the
+/// parsed body of the response.
+[[nodiscard]] auto to_answer(net::http_result const& result,
+                             worker_reply const& reply) -> core::worker_answer;
+
 /// HTTP in both directions between an agent and its worker: receives the
 /// worker's reports and sends orders and polls to it.
 class worker_api
--- a/tests/platform/test_bodies.cpp
+++ b/tests/platform/test_bodies.cpp
@@ -2,6 +2,7 @@
 #include "platform/configuration_body.hpp"
 #include "platform/job_body.hpp"
 #include "platform/parsed.hpp"
+#include "platform/worker_api.hpp"
 #include "platform/worker_body.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -256,3 +257,28 @@
     BOOST_TEST(platform::serialize_poll(poll) ==
                R"({"fencingToken":7,"ackCursor":57})");
 }
+
+// Guards against "not run" for an order that the worker failed while it
+// executed it: only some statuses promise that it did nothing.
+BOOST_AUTO_TEST_CASE(an_unexpected_status_leaves_the_order_unknown)
+{
+    auto const answer = [](core::run_state state, std::uint16_t status)
+    {
+        auto result = hickorylatch::net::http_result{};
+        result.m_run = state;
+        result.m_answer.m_status = status;
+        return platform::to_answer(result, platform::worker_reply{});
+    };
+    using enum core::run_state;
+    for (auto const status : {302, 404, 408, 500, 502, 504})
+        BOOST_TEST(!core::is_rejection(
+            answer(ran, static_cast<std::uint16_t>(status))));
+    for (auto const status : {400, 409, 421, 429, 503})
+        BOOST_TEST(core::is_rejection(
+            answer(ran, static_cast<std::uint16_t>(status))));
+    // The check of the connection failed, and the order was never sent.
+    for (auto const status : {0, 200, 421, 500, 503})
+        BOOST_TEST(core::is_rejection(
+            answer(not_run, static_cast<std::uint16_t>(status))));
+    BOOST_TEST((answer(may_have_run, 0) == core::worker_answer::unknown));
+}
