State in one place whether a job may have started

Whether a job is answered "not run" and whether it counts as waiting are the same question, asked of the states of its tasks in three places with three rules. Callers of `pending` saw jobs counted as waiting whose tasks had ended under an earlier leader, or were running at an entry.

Change: placed_job::may_have_started answers it: a flag, or a task that is placed, whose end is being recorded, or that has succeeded. A leader that restores a job with failed runs sets the flag. For the answer to a job nothing changes: a task that succeeded had set the flag at an entry.

Evidence: a_restored_job_with_ended_runs_is_not_waiting failed with the old rules for both outcomes and passes now; the other tests of core/jobs and core/placement pass.

--- a/src/core/jobs/job_runner.cpp
+++ b/src/core/jobs/job_runner.cpp
@@ -66,7 +66,10 @@
             placed.set_succeeded(*task);
     for (auto const& [index, count] : job.m_failures)
         if (auto* const task = placed.find(index))
+        {
             task->m_failures = count;
+            placed.set_may_have_started();
+        }
     if (!m_unannounced.empty())
         placed.mark_in_doubt();
     m_placer.add(std::move(placed));
@@ -324,13 +327,7 @@
         [queue](auto const& each)
         {
             auto const& job = each.second;
-            return job.queue().m_name == queue && !job.may_have_started() &&
-                   std::ranges::none_of(job.tasks(),
-                                        [](placed_task const& task)
-                                        {
-                                            return task.m_state ==
-                                                   task_state::placed;
-                                        });
+            return job.queue().m_name == queue && !job.may_have_started();
         }));
 }
 
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -491,17 +491,10 @@
 auto broker::fail(time_point now, std::uint64_t number, reason why,
                   effects& out) -> void
 {
-    auto const& job = *m_placer.find(number);
-    auto const has_no_run =
-        !job.may_have_started() &&
-        std::ranges::none_of(job.tasks(),
-                             [](placed_task const& task)
-                             {
-                                 return task.m_state == task_state::placed;
-                             });
+    auto const may_have_started = m_placer.find(number)->may_have_started();
     // A job has failed if a task has reached its failure limit. A job that
     // reaches its deadline has not failed, but may have run.
-    auto const outcome = has_no_run ? refused(why, {}, busy_retry_ms)
+    auto const outcome = !may_have_started ? refused(why, {}, busy_retry_ms)
                          : why == reason::call_failed
                              ? job_verdict(run_state::ran, why)
                              : uncertain(why);
--- a/src/core/placement/placed_job.cpp
+++ b/src/core/placement/placed_job.cpp
@@ -203,7 +203,15 @@
 
 auto placed_job::may_have_started() const -> bool
 {
-    return m_may_have_started;
+    return m_may_have_started ||
+           std::ranges::any_of(m_tasks,
+                               [](placed_task const& task)
+                               {
+                                   return task.m_state == task_state::placed ||
+                                          task.m_state ==
+                                              task_state::end_pending ||
+                                          task.m_state == task_state::succeeded;
+                               });
 }
 
 auto placed_job::has_reservations(std::uint32_t step) const -> bool
--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -103,6 +103,8 @@
     [[nodiscard]] auto tasks() const -> std::span<placed_task const>;
     [[nodiscard]] auto step(placed_task const& task) const -> job_step const&;
     [[nodiscard]] auto is_complete() const -> bool;
+    /// False only if no run was ordered that may have started: a job that ends
+    /// now was certainly not run.
     [[nodiscard]] auto may_have_started() const -> bool;
     [[nodiscard]] auto has_reservations(std::uint32_t step) const -> bool;
     /// Agents that may hold a reservation.
--- a/tests/core/jobs/test_job_runner.cpp
+++ b/tests/core/jobs/test_job_runner.cpp
@@ -312,3 +312,20 @@
     leader.commit_all();
     BOOST_TEST(leader.m_store.find(job) == nullptr);
 }
+
+// Guards against a leader that counts jobs as waiting although tasks of them
+// ended under an earlier leader.
+BOOST_AUTO_TEST_CASE(a_restored_job_with_ended_runs_is_not_waiting)
+{
+    for (auto const outcome :
+         {core::run_outcome::succeeded, core::run_outcome::failed})
+    {
+        auto previous = test_leader{};
+        previous.add_agent(agent);
+        auto const job = previous.accept("a", 2);
+        previous.report_end(agent, 1, {job, {0, 0}, 1}, outcome);
+        previous.commit_all();
+        auto const leader = test_leader{previous.m_store.image()};
+        BOOST_TEST(leader.m_runner.waiting_jobs("") == 0U);
+    }
+}
