Give up a job whose task was lost with its workers several times

Callers saw: a task that takes its worker down at once was started again and again until its client gave up, and took down each worker that it reached: 27 starts within 1.5 s where the workers are back after 0.02 s.

Change: a run that ends as lapsed because its worker was lost is counted by task. From the second one on the task avoids that worker while others are usable. At the failure limit of the queue, and at least at the third, the job is given up and answered "may have run" at once. The first lost run is placed again as before, also on the restarted worker, which is empty. A durable job goes on: it may fail by failed runs only.

--- a/src/core/placement/placed_job.hpp
+++ b/src/core/placement/placed_job.hpp
@@ -42,6 +42,9 @@
     /// Orders that were refused for lack of room although the last load showed
     /// some.
     std::uint32_t m_full_refusals = 0;
+    /// Runs that were lost with their workers, which may have crashed because
+    /// of the task.
+    std::uint32_t m_lost_runs = 0;
     /// Agents where it failed; avoided unless no other worker is usable.
     std::vector<node_id> m_avoided_agents;
 };
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -21,6 +21,9 @@
 // Interval at which tasks that have no worker or wait for an offer are planned
 // again. A worker without a reservation may have room by then.
 constexpr auto retry_interval = duration{std::chrono::milliseconds{40}};
+// A worker may crash for its own reasons, so the first lost runs of a task must
+// not end its job even if the failure limit of the queue is lower.
+constexpr auto min_lost_run_limit = 3U;
 
 auto is_run(placed_task const& task, node_id agent, run_ref const& run) -> bool
 {
@@ -426,6 +429,10 @@
     auto const has_failed = end.m_outcome == run_outcome::failed;
     if (has_failed || end.m_reason == reason::call_failed)
         task->m_avoided_agents.push_back(agent);
+    if (end.m_outcome == run_outcome::lapsed &&
+        end.m_reason == reason::agent_lost &&
+        !count_lost_run(job->second, *task, agent))
+        return true;
     // Runs that were stopped because they hung do not count as failures.
     if (!has_failed || count_failure(job->second, *task))
         place_ready_tasks(now, job->first, random, out);
@@ -461,6 +468,21 @@
     return false;
 }
 
+auto run_placer::count_lost_run(placed_job& job, placed_task& task,
+                                node_id agent) -> bool
+{
+    // A restarted worker is empty, so a single loss is no reason to avoid it.
+    if (++task.m_lost_runs > 1)
+        task.m_avoided_agents.push_back(agent);
+    auto const limit =
+        std::max(job.queue().m_failure_limit, min_lost_run_limit);
+    // A durable job fails only by failed runs.
+    if (job.job().m_is_durable || task.m_lost_runs < limit)
+        return true;
+    set_outcome(job, reason::agent_lost);
+    return false;
+}
+
 auto run_placer::set_end_pending(node_id agent, run_end const& end) -> void
 {
     auto* const job = find(end.m_run.m_job);
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -38,7 +38,8 @@
 {
     std::uint64_t m_job = 0;
     /// `none` if all tasks have succeeded, `call_failed` if one has failed as
-    /// often as its queue allows, `superseded` if another process has the job.
+    /// often as its queue allows, `agent_lost` if that many runs of one were
+    /// lost with their workers, `superseded` if another process has the job.
     reason m_reason = reason::none;
 };
 
@@ -156,6 +157,10 @@
                        random_source& random, effects& out) -> void;
     /// Counts a failed run of the task; false if its job has failed with it.
     auto count_failure(placed_job& job, placed_task& task) -> bool;
+    /// Counts a run that was lost with its worker; false if the job is given up
+    /// with it.
+    auto count_lost_run(placed_job& job, placed_task& task, node_id agent)
+        -> bool;
     /// Minimum time between two load messages of one agent.
     [[nodiscard]] auto load_interval() const -> duration;
     auto send_order(placed_job& job, node_id agent, order_runs&& order,
--- a/tests/core/jobs/test_job_runner.cpp
+++ b/tests/core/jobs/test_job_runner.cpp
@@ -86,6 +86,7 @@
     {
         auto wanted = core::accept_job{};
         wanted.m_job.m_id = std::move(id);
+        wanted.m_job.m_is_durable = true;
         auto step = core::job_step{};
         step.m_count = tasks;
         step.m_needs = {1'000, 64, 0};
@@ -98,12 +99,10 @@
     }
 
     auto report_end(core::node_id node, std::uint64_t number, core::run_ref run,
-                    core::run_outcome outcome = core::run_outcome::succeeded)
-        -> void
+                    core::run_outcome outcome = core::run_outcome::succeeded,
+                    core::reason why = core::reason::none) -> void
     {
-        receive(node,
-                core::runs_ended{
-                    number, {{run, outcome, core::reason::none, 100}}, {}});
+        receive(node, core::runs_ended{number, {{run, outcome, why, 100}}, {}});
     }
 
     /// Runs ordered at an agent so far.
@@ -329,3 +328,19 @@
         BOOST_TEST(leader.m_runner.waiting_jobs("") == 0U);
     }
 }
+
+// Guards against a durable job that ends because workers crashed: only failed
+// runs count towards the limit of its queue.
+BOOST_AUTO_TEST_CASE(lost_runs_do_not_end_a_durable_job)
+{
+    auto leader = test_leader{};
+    leader.add_agent(agent);
+    auto const job = leader.accept("a", 1);
+    for (auto run = 1U; run <= 5; ++run)
+    {
+        BOOST_TEST(leader.ordered_runs(agent).size() == run);
+        leader.report_end(agent, run, {job, {0, 0}, run},
+                          core::run_outcome::lapsed, core::reason::agent_lost);
+    }
+    BOOST_TEST(leader.ordered_runs(agent).size() == 6U);
+}
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -652,6 +652,16 @@
               {
                   reply(execute_order());
               });
+    else if (fault == order_fault::crash)
+        after(worker_delay,
+              [&worker, execute_order, reply, this]
+              {
+                  auto const result = execute_order();
+                  if (result != core::worker_answer::accepted)
+                      return reply(result);
+                  restart_worker(worker.m_report.m_name);
+                  reply(core::worker_answer::unknown);
+              });
     else
     {
         after(core::worker_answer_timeout,
@@ -677,7 +687,9 @@
 auto placement_world::stop(worker_state& worker, core::stop_run const& order)
     -> void
 {
-    auto const fault = draw_fault(worker);
+    auto const drawn = draw_fault(worker);
+    // Only starts make the worker crash.
+    auto const fault = drawn == order_fault::crash ? order_fault::none : drawn;
     auto const delay = fault == order_fault::late
                            ? core::duration{late_order_delay}
                            : core::duration{worker_delay};
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -34,9 +34,11 @@
 enum class order_fault : std::uint8_t
 {
     none,
-    silent,     ///< Orders are lost, and nothing is answered.
-    late,       ///< Starts and stops get no answer and are executed later.
-    lost_answer ///< Orders are executed at once, without an answer.
+    silent,      ///< Orders are lost, and nothing is answered.
+    late,        ///< Starts and stops get no answer and are executed later.
+    lost_answer, ///< Orders are executed at once, without an answer.
+    crash ///< The worker crashes as it begins a task, before it answers, and
+          ///< starts again at once under its name.
 };
 
 /// Simulates entries with brokers and workers with executors in virtual time.
--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -390,6 +390,46 @@
     check_invariants(*world);
 }
 
+// Guards against "not run" for a task that takes down each worker that it
+// reaches, and against starting it again and again until its client gives up.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_may_have_run)
+{
+    auto world = make_world();
+    for (auto const* name : {"w1", "w2", "w3"})
+        world->set_fault(name, order_fault::crash);
+    auto const job = world->submit(
+        "e1", "fast", make_job("k", 1, milliseconds{60}, milliseconds{60}),
+        milliseconds{1'500});
+    BOOST_TEST(world->run_until_answered(job, seconds{2}));
+    auto const* answer = world->answer(job);
+    BOOST_REQUIRE(answer != nullptr);
+    BOOST_TEST((answer->m_verdict.m_run == core::run_state::may_have_run));
+    BOOST_TEST((answer->m_verdict.m_reason == core::reason::agent_lost));
+    BOOST_TEST((answer->m_age < milliseconds{1'000}));
+    // The failure limit of the queue.
+    BOOST_TEST(world->starts() == 3U);
+    check_invariants(*world);
+}
+
+// Guards against a worker that crashes at each start for its own reasons and
+// costs its jobs their answer: they complete on the other workers.
+BOOST_AUTO_TEST_CASE(jobs_complete_beside_a_worker_that_crashes)
+{
+    auto world = make_world();
+    world->set_fault("w1", order_fault::crash);
+    for (auto number = 0; number < 20; ++number)
+    {
+        auto const job =
+            world->submit("e1", "fast",
+                          make_job("c" + std::to_string(number), 6,
+                                   milliseconds{60}, milliseconds{60}),
+                          milliseconds{1'500});
+        BOOST_TEST(world->run_until_answered(job, seconds{2}));
+        BOOST_TEST(is_completed(*world, job));
+    }
+    check_invariants(*world);
+}
+
 // Guards against new runs on a draining worker, and against stopping the runs
 // that it still has.
 BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_runs)
