Let workers of the soak crash as they begin a task

The soak crashed its workers at moments of its own, so a start without an answer that meets the next incarnation under the same name came up by chance only. Half of the crashes now wait, at most 1 s, for a start and come before its answer.

--- a/tests/system/soak/faults.py
+++ b/tests/system/soak/faults.py
@@ -12,6 +12,8 @@
 # Time after a restart during which a machine still counts as lost, because it
 # has to catch up.
 CATCH_UP_S = 4.0
+# Longest time that a worker which is to crash with a task waits for one.
+START_WAIT_S = 1.0
 
 
 def foreign_reports(worker):
@@ -191,10 +193,17 @@
 
     async def crash_worker(self):
         worker = self.rng.choice(self.workers)
-        if not worker.is_up:
+        if not worker.is_up or worker.crashes_at_start:
             return "none"
-        await worker.crash()
-        await asyncio.sleep(self.rng.uniform(0.02, 3.0))
+        down_s = self.rng.uniform(0.02, 3.0)
+        # The worker's own random numbers, so that kept seeds draw the same
+        # faults as before.
+        if worker.rng.random() < 0.5:
+            if not await worker.crash_at_start(START_WAIT_S):
+                return "none"
+        else:
+            await worker.crash()
+        await asyncio.sleep(down_s)
         await worker.start(first_report_delay_s=self.rng.uniform(0.0, 1.0))
         return worker.name
 
--- a/tests/system/soak/worker.py
+++ b/tests/system/soak/worker.py
@@ -35,6 +35,8 @@
         self.mode = "normal"
         self.is_draining = False
         self.drain_reported_at = None
+        # Crashes as it begins the next task, before it answers.
+        self.crashes_at_start = False
 
     async def start(self, first_report_delay_s=0.0):
         """Starts a new incarnation without the state of earlier ones. It
@@ -50,6 +52,8 @@
         self.unacknowledged_ends = []
         self.last_end_number = 0
         self.end_added = asyncio.Event()
+        self.has_crashed = asyncio.Event()
+        self.crashes_at_start = False
         self.mode = "normal"
         self.is_draining = False
         self.drain_reported_at = None
@@ -60,8 +64,25 @@
         self.report_task = asyncio.create_task(
             self.report_periodically(first_report_delay_s))
 
+    async def crash_at_start(self, timeout_s):
+        """Crashes as it begins the next task, before it answers, but at the
+        latest after the timeout. Returns False if another fault restarted it
+        meanwhile."""
+        incarnation = self.incarnation
+        self.crashes_at_start = True
+        try:
+            await asyncio.wait_for(self.has_crashed.wait(), timeout_s)
+        except asyncio.TimeoutError:
+            pass
+        if self.incarnation != incarnation:
+            return False
+        if self.is_up:
+            await self.crash()
+        return True
+
     async def crash(self):
         self.is_up = False
+        self.has_crashed.set()
         self.report_task.cancel()
         for run in self.running.values():
             run["timer"].cancel()
@@ -124,7 +145,12 @@
             return None
         if path == "/api/hold":
             return await self.poll(request)
-        return self.execute(path, request)
+        answer = self.execute(path, request)
+        if self.crashes_at_start and path == "/api/run-start" and \
+                answer is not None and answer[0] == 200:
+            await self.crash()
+            return None
+        return answer
 
     def execute_late(self, path, request, incarnation):
         # A restart drops the requests that the earlier incarnation received.
