Do not let one replica's refusal speak for an earlier one

Callers of durable jobs could see "not run" for a job that ran: an entry, or a replica that does not lead, sends a job to the next replica when the link to the first one is lost. The first may have proposed it; the next one refuses it as its table is full, and this refusal was passed on.

Change: a refusal of a request that was sent before becomes uncertain, at the entry and at the forwarding replica; a leader that had forwarded a job does not refuse it for a full table. That a job is unknown, which the leader confirms with a quorum, stays certain.

--- a/src/core/model/verdict.cpp
+++ b/src/core/model/verdict.cpp
@@ -57,4 +57,12 @@
     return {run_state::may_have_run, why, std::string{detail}, 0};
 }
 
+auto after_resend(verdict const& answer) -> verdict
+{
+    if (answer.m_run != run_state::not_run ||
+        answer.m_reason == reason::key_forgotten)
+        return answer;
+    return uncertain(answer.m_reason, answer.m_detail);
+}
+
 } // namespace hickorylatch::core
--- a/src/core/model/verdict.hpp
+++ b/src/core/model/verdict.hpp
@@ -69,6 +69,11 @@
 [[nodiscard]] auto uncertain(reason why, std::string_view detail = {})
     -> verdict;
 
+/// The verdict on a request that was sent to another process before: what this
+/// one refuses, the other one may have executed. That a key is unknown holds
+/// for all processes.
+[[nodiscard]] auto after_resend(verdict const& answer) -> verdict;
+
 } // namespace hickorylatch::core
 
 #endif
--- a/src/core/placement/control_requests.cpp
+++ b/src/core/placement/control_requests.cpp
@@ -47,6 +47,7 @@
         pending.m_sent_to =
             next == m_replicas.end() ? *m_replicas.begin() : *next;
     }
+    ++pending.m_send_count;
     out.emplace_back(send{pending.m_sent_to,
                           operate{sequence, pending.m_request.m_operation}});
 }
@@ -66,6 +67,8 @@
     m_preferred_replica =
         m_replicas.contains(result.m_leader) ? result.m_leader : from;
     auto done = answered_request{std::move(found->second.m_request), result};
+    if (found->second.m_send_count > 1)
+        done.m_result.m_verdict = after_resend(done.m_result.m_verdict);
     m_pending.erase(found);
     return done;
 }
--- a/src/core/placement/control_requests.hpp
+++ b/src/core/placement/control_requests.hpp
@@ -36,7 +36,8 @@
     auto disconnected(node_id replica, effects& out) -> void;
     auto submit(control_request request, effects& out) -> void;
     /// Returns the answered request; none if it is unknown or was sent to
-    /// another replica.
+    /// another replica. A refusal becomes uncertain if another replica had the
+    /// request before.
     auto answered(node_id from, operate_result const& result, effects& out)
         -> std::optional<answered_request>;
     /// Drops the request: its client has disconnected.
@@ -53,6 +54,8 @@
         control_request m_request;
         /// Replica that it was sent to; `no_node` while there is no link.
         node_id m_sent_to = no_node;
+        /// Earlier replicas that it was sent to may have executed it.
+        unsigned m_send_count = 0;
     };
 
     auto send_to_next(std::uint64_t sequence, pending_request& pending,
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -81,6 +81,9 @@
         return std::nullopt;
     }
     auto completed = completed_operation{found->m_requester, result};
+    if (found->m_forward_count > 1 || found->m_proposed_term != 0)
+        completed.m_result.m_verdict =
+            after_resend(completed.m_result.m_verdict);
     m_pending.erase(found);
     return completed;
 }
@@ -120,6 +123,7 @@
             waiting.m_forwarded_to != forward_to)
         {
             waiting.m_forwarded_to = forward_to;
+            ++waiting.m_forward_count;
             out.emplace_back(send{
                 forward_to, operate{waiting.m_number, waiting.m_operation}});
         }
@@ -169,7 +173,8 @@
     {
         if (state.jobs().find(posted->m_job.m_id) != nullptr)
             return result;
-        if (waiting.m_proposed_term == 0 &&
+        // An earlier leader may have proposed the job already.
+        if (waiting.m_proposed_term == 0 && waiting.m_forward_count == 0 &&
             state.jobs().open_jobs() >= maximum_open_jobs)
         {
             result.m_verdict =
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -44,7 +44,8 @@
     /// False if too many operations are pending.
     auto add(time_point now, operation_requester requester, operation requested)
         -> bool;
-    /// Handles the leader's answer to a forwarded operation.
+    /// Handles the leader's answer to a forwarded operation. A refusal becomes
+    /// uncertain if the operation may have been proposed before.
     auto handle_result(operate_result const& result)
         -> std::optional<completed_operation>;
     /// Handles a new or lost link to this peer; messages on it may be lost.
@@ -73,6 +74,8 @@
         time_point m_wait_until{0};
         /// Replica to which it was forwarded.
         node_id m_forwarded_to = no_node;
+        /// Earlier leaders that it was forwarded to may have proposed it.
+        unsigned m_forward_count = 0;
         /// Last term in which this replica proposed it.
         term_number m_proposed_term = 0;
         /// When this replica first handled the read as leader of `m_read_term`.
--- a/tests/core/placement/test_broker.cpp
+++ b/tests/core/placement/test_broker.cpp
@@ -265,6 +265,44 @@
     }
 }
 
+// Guards against "not run" for a durable job that a lost replica accepted: the
+// refusal by the next one does not speak for the first.
+BOOST_AUTO_TEST_CASE(a_refusal_speaks_only_for_the_replica_that_was_asked)
+{
+    for (auto const is_sent_twice : {false, true})
+    {
+        auto settings = core::broker_settings{};
+        settings.m_takes_durable_jobs = true;
+        auto entry = entry_process{settings};
+        entry.add_agent(first_agent, 1);
+        for (auto const replica : {core::node_id{90}, core::node_id{91}})
+        {
+            auto control = core::hello{};
+            control.m_node = replica;
+            control.m_role = core::role::control;
+            entry.m_broker.connected(entry.m_now, control, entry.m_out);
+        }
+        entry.post_job(1, true);
+        auto replica = core::node_id{90};
+        if (is_sent_twice)
+        {
+            entry.m_broker.disconnected(entry.m_now, replica, entry.m_out);
+            replica = core::node_id{91};
+        }
+        auto const* order = sent<core::operate>(entry.m_out, replica);
+        BOOST_REQUIRE(order != nullptr);
+        auto result = core::operate_result{};
+        result.m_sequence = order->m_sequence;
+        result.m_verdict = core::refused(core::reason::queue_full);
+        entry.receive(replica, result);
+        auto const* answer = test::last<core::answer_job>(entry.m_out);
+        BOOST_REQUIRE(answer != nullptr);
+        BOOST_TEST((answer->m_verdict.m_run ==
+                    (is_sent_twice ? core::run_state::may_have_run
+                                   : core::run_state::not_run)));
+    }
+}
+
 // Guards against two runs of a task at the same time: a client whose connection
 // times out sends its job again, and the load balancer picks the same entry.
 BOOST_AUTO_TEST_CASE(a_job_that_is_sent_again_joins_the_one_in_progress)
