--- a/tests/core/placement/test_executor.cpp
+++ b/tests/core/placement/test_executor.cpp
@@ -442,17 +442,6 @@
 namespace
 {
 
-/// Incarnation 2 of worker "w" reports and confirms it.
-auto restart_worker(core::executor& agent, core::effects& out) -> void
-{
-    auto report = test::desk_worker_report();
-    report.m_incarnation = 2;
-    agent.reported(milliseconds{1'020}, report, out);
-    agent.answered(
-        milliseconds{1'021},
-        core::worker_checked{"w", 2, core::worker_answer::accepted, 10}, out);
-}
-
 /// An agent that ordered the start of one run at incarnation 1 of worker "w"
 /// and got no answer yet.
 struct agent_with_start
@@ -472,6 +461,18 @@
                          core::run_start_answered{m_run, answer, 0, 1}, m_out);
     }
 
+    /// Incarnation 2 of the worker reports and confirms it.
+    auto restart_worker() -> void
+    {
+        auto report = test::desk_worker_report();
+        report.m_incarnation = 2;
+        m_agent.reported(milliseconds{1'020}, report, m_out);
+        m_agent.answered(
+            milliseconds{1'021},
+            core::worker_checked{"w", 2, core::worker_answer::accepted, 10},
+            m_out);
+    }
+
     /// The worker lists no runs, confirms the stop that the agent then orders,
     /// and lists none again.
     auto list_no_runs(std::int64_t incarnation) -> void
@@ -503,30 +504,16 @@
 };
 
 /// An agent with one run in progress at worker "w".
-struct agent_with_run
+struct agent_with_run : agent_with_start
 {
-    agent_with_run() : m_agent{make_agent(m_out)}
+    agent_with_run()
     {
-        auto order = make_order();
-        order.m_time_left_ms = 60'000;
-        m_agent.receive(milliseconds{1'010}, entry, order, m_out);
-        m_run = test::last<core::start_run>(m_out)->m_run;
         m_agent.answered(milliseconds{1'011},
                          core::run_start_answered{
                              m_run, core::worker_answer::accepted, 1'011, 1},
                          m_out);
         m_out.clear();
     }
-
-    /// Incarnation 2 of the worker reports and confirms it.
-    auto restart_worker() -> void
-    {
-        ::restart_worker(m_agent, m_out);
-    }
-
-    core::effects m_out;
-    core::executor m_agent;
-    core::worker_run m_run;
 };
 
 /// A later report than that of `agent_with_run`, which differs in nothing else.
@@ -605,7 +592,7 @@
         auto agent = agent_with_start{};
         if (!is_answer_late)
             agent.start_answered(core::worker_answer::unknown);
-        restart_worker(agent.m_agent, agent.m_out);
+        agent.restart_worker();
         if (is_answer_late)
             agent.start_answered(core::worker_answer::unknown);
         agent.list_no_runs(2);
@@ -639,7 +626,7 @@
           core::worker_answer::unhealthy, core::worker_answer::no_room})
     {
         auto agent = agent_with_start{};
-        restart_worker(agent.m_agent, agent.m_out);
+        agent.restart_worker();
         agent.start_answered(answer);
         BOOST_TEST(agent.m_agent.running() == 0U);
         auto const* end = last_end(agent.m_out);
