--- a/tests/core/placement/test_placement.cpp
+++ b/tests/core/placement/test_placement.cpp
@@ -390,8 +390,8 @@
     check_invariants(*world);
 }
 
-// Guards against "not run" for a task that takes down each worker that it
-// reaches, and against starting it again and again until its client gives up.
+// Guards against a task that takes down each worker that it reaches and is
+// started again and again until its client gives up.
 BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_may_have_run)
 {
     auto world = make_world();
--- a/tests/system/soak/faults.py
+++ b/tests/system/soak/faults.py
@@ -196,8 +196,8 @@
         if not worker.is_up or worker.crashes_at_start:
             return "none"
         down_s = self.rng.uniform(0.02, 3.0)
-        # The worker's own random numbers, so that kept seeds draw the same
-        # faults as before.
+        # The worker's own random numbers: kept seeds depend on the number of
+        # the shared ones that each fault draws.
         if worker.rng.random() < 0.5:
             if not await worker.crash_at_start(START_WAIT_S):
                 return "none"
