--- a/src/core/model/message.cpp
+++ b/src/core/model/message.cpp
@@ -56,7 +56,8 @@
                                          "claim_job",
                                          "claim_answer",
                                          "yield_job",
-                                         "job_yielded"});
+                                         "job_yielded",
+                                         "evacuations"});
     static_assert(names.size() == std::variant_size_v<message>);
     return names.at(alternative);
 }
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -4,6 +4,7 @@
 #include "core/model/command.hpp"
 #include "core/model/configuration.hpp"
 #include "core/model/configuration_patch.hpp"
+#include "core/model/evacuations.hpp"
 #include "core/model/ids.hpp"
 #include "core/model/job.hpp"
 #include "core/model/submission.hpp"
@@ -784,7 +785,7 @@
     order_runs, withdraw_runs, runs_ended, reserve_room, offer_room,
     decline_room, release_room, reservation_dropped, lead_jobs,
     configuration_notice, fetch_configuration, configuration_patch, claim_job,
-    claim_answer, yield_job, job_yielded>;
+    claim_answer, yield_job, job_yielded, evacuations>;
 
 /// Name of the alternative, for logs and metrics.
 [[nodiscard]] auto message_name(message const& content) -> std::string_view;
