Move live runs and requesters out of the executor

The state of a run, its hang limit and the log lines and metrics of its end move to core/placement/live_run, the state of a process that orders runs to core/placement/requester. The run state is renamed to live_run_state because core::run_state is that of a verdict.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -25,10 +25,6 @@
 // Load reports are sent at most this often, to all requesters that are due, so
 // that one forecast of the waits serves all of them.
 constexpr auto load_interval_minimum = duration{std::chrono::milliseconds{10}};
-// A run that takes this much longer than expected counts as hung. The factor is
-// well above the error of declared run times, which is commonly 1.5.
-constexpr auto hang_factor = 4.0;
-constexpr auto hang_grace = duration{std::chrono::milliseconds{100}};
 
 // Fewer than other processes follow: agents do not use the configuration
 // themselves, and there are more of them.
@@ -67,12 +63,6 @@
     return outcome == run_outcome::succeeded || outcome == run_outcome::failed;
 }
 
-auto run_count_metric(run_outcome outcome) -> observe_metric
-{
-    return {"hickorylatch_runs_total",
-            {{"outcome", std::string{to_string(outcome)}}}};
-}
-
 } // namespace
 
 executor::executor(executor_settings settings)
@@ -638,10 +628,10 @@
     {
         run.m_lease_until_ms = m_lease_until_ms;
         run.m_confirmed_at = now;
-        if (run.m_state != run_state::starting &&
-            run.m_state != run_state::start_unknown)
+        if (run.m_state != live_run_state::starting &&
+            run.m_state != live_run_state::start_unknown)
             continue;
-        run.m_state = run_state::start_unknown;
+        run.m_state = live_run_state::start_unknown;
         run.m_start_unknown_since = now;
         run.m_revoked_at = never;
         run.m_stop_retry_at = now;
@@ -682,13 +672,13 @@
         return;
     auto& run = found->second;
     if (is_late && run.m_is_of_earlier_incarnation &&
-        run.m_state == run_state::start_unknown &&
+        run.m_state == live_run_state::start_unknown &&
         is_rejection(answer.m_answer))
     {
         start_rejected(now, found, answer.m_answer, out);
         return process_pending(now, out);
     }
-    if (is_late || run.m_state != run_state::starting)
+    if (is_late || run.m_state != live_run_state::starting)
         return;
     m_is_load_changed = true;
     switch (answer.m_answer)
@@ -697,7 +687,7 @@
         confirm_start(now, *found, out);
         break;
     case worker_answer::unknown:
-        run.m_state = run_state::start_unknown;
+        run.m_state = live_run_state::start_unknown;
         run.m_start_unknown_since = now;
         run.m_stop_retry_at = now;
         m_polls.answer_lost(now);
@@ -745,7 +735,7 @@
     auto const found =
         m_live.find({answer.m_run.m_job_id, answer.m_run.m_task});
     if (found != m_live.end() && found->second.m_number == answer.m_run.m_run &&
-        found->second.m_state == run_state::start_unknown)
+        found->second.m_state == live_run_state::start_unknown)
     {
         if (answer.m_answer == worker_answer::accepted)
             found->second.m_revoked_at = now;
@@ -857,9 +847,9 @@
         auto const current = each++;
         auto const& run = current->second;
         auto const is_listed = listed.contains(current->first);
-        auto const has_started = run.m_state == run_state::running ||
-                                 run.m_state == run_state::stopping;
-        if (run.m_state == run_state::start_unknown)
+        auto const has_started = run.m_state == live_run_state::running ||
+                                 run.m_state == live_run_state::stopping;
+        if (run.m_state == live_run_state::start_unknown)
             resolve_unknown_start(now, current, is_listed, sent_at, out);
         else if (has_started && run.m_confirmed_at <= sent_at && !is_listed)
             finish(now, current, run_outcome::lapsed, reason::agent_lost, out);
@@ -990,7 +980,7 @@
                            effects& out) -> void
 {
     auto& run = started.second;
-    run.m_state = run_state::starting;
+    run.m_state = live_run_state::starting;
     run.m_started_at = now;
     run.m_lease_until_ms = m_clock.at(now) + to_milliseconds(start_lease);
     m_lease_until_ms = std::max(m_lease_until_ms, run.m_lease_until_ms);
@@ -1004,7 +994,7 @@
 auto executor::confirm_start(time_point now, live_runs::value_type& started,
                              effects& out) -> void
 {
-    started.second.m_state = run_state::running;
+    started.second.m_state = live_run_state::running;
     started.second.m_confirmed_at = now;
     if (started.second.m_is_stop_requested)
         order_stop(now, started, out);
@@ -1016,9 +1006,9 @@
     auto& run = wanted.second;
     // A start without an answer can be stopped only once it is confirmed.
     run.m_is_stop_requested = true;
-    if (run.m_state != run_state::running)
+    if (run.m_state != live_run_state::running)
         return;
-    run.m_state = run_state::stopping;
+    run.m_state = live_run_state::stopping;
     run.m_stop_retry_at = now + stop_retry;
     out.emplace_back(stop_run{
         target(), {wanted.first.first, wanted.first.second, run.m_number}});
@@ -1054,32 +1044,6 @@
         await_lease_expiry(now, out);
 }
 
-auto executor::log_end(time_point now, std::string const& job,
-                       live_run const& run, run_outcome outcome, reason why,
-                       effects& out) const -> void
-{
-    out.emplace_back(
-        log_line{log_level::info,
-                 "run_ended",
-                 {{"run", run_field(job, run.m_ref.m_task, run.m_number)},
-                  {"entry", node_field(run.m_job->m_requester)},
-                  {"outcome", std::string{to_string(outcome)}},
-                  {"reason", std::string{to_string(why)}},
-                  {"hung", run.m_is_hung ? "yes" : "no"},
-                  {"queued_ms", ms_field(run.m_started_at - run.m_queued_at)},
-                  {"ran_ms", ms_field(now - run.m_started_at)},
-                  {"expected_ms", ms_field(run.m_expected)}}});
-    out.emplace_back(run_count_metric(outcome));
-    if (outcome != run_outcome::succeeded)
-        return;
-    out.emplace_back(
-        observe_metric{"hickorylatch_run_wait_seconds",
-                       {},
-                       to_seconds(run.m_started_at - run.m_queued_at)});
-    out.emplace_back(observe_metric{
-        "hickorylatch_run_seconds", {}, to_seconds(now - run.m_started_at)});
-}
-
 auto executor::record_outcome(time_point now, live_run const& ended,
                               run_outcome outcome) -> void
 {
@@ -1105,16 +1069,7 @@
                                      refused.m_ref.m_task.m_step}});
         return;
     }
-    out.emplace_back(
-        log_line{log_level::info,
-                 "run_refused",
-                 {{"run", run_field(refused.m_job->m_id, refused.m_ref.m_task,
-                                    refused.m_ref.m_run)},
-                  {"entry", node_field(refused.m_job->m_requester)},
-                  {"reason", std::string{to_string(why)}},
-                  {"queued_ms", ms_field(now - refused.m_queued_at)},
-                  {"waiting", std::to_string(m_queue.size())}}});
-    out.emplace_back(run_count_metric(run_outcome::refused));
+    log_refusal(now, refused, why, m_queue.size(), out);
     auto const requester = m_requesters.find(refused.m_job->m_requester);
     if (requester == m_requesters.end())
         return;
@@ -1170,16 +1125,16 @@
         // It may have started before this lease expired and continued under
         // the lease of a poll, so only a list that is requested now shows
         // whether it runs.
-        if (run.m_state == run_state::start_unknown &&
+        if (run.m_state == live_run_state::start_unknown &&
             run.m_revoked_at == never &&
             now >= m_clock.certainly_reached(run.m_lease_until_ms))
         {
             run.m_revoked_at = now;
             m_polls.request_list();
         }
-        if (run.m_state == run_state::running && !run.m_is_hung &&
+        if (run.m_state == live_run_state::running && !run.m_is_hung &&
             run.m_expected > duration{0} &&
-            now - run.m_started_at >= hang_limit(now, run))
+            now - run.m_started_at >= hang_limit(run, m_slowness.slowness(now)))
         {
             run.m_is_hung = true;
             out.emplace_back(log_line{
@@ -1192,22 +1147,14 @@
             order_stop(now, *current, out);
         }
         else if (now >= run.m_stop_retry_at &&
-                 run.m_state == run_state::stopping)
+                 run.m_state == live_run_state::stopping)
         {
-            run.m_state = run_state::running;
+            run.m_state = live_run_state::running;
             order_stop(now, *current, out);
         }
     }
 }
 
-auto executor::hang_limit(time_point now, live_run const& run) const -> duration
-{
-    auto const expected =
-        std::chrono::duration<double, duration::period>(run.m_expected) *
-        hang_factor * std::max(m_slowness.slowness(now), 1.0);
-    return std::chrono::duration_cast<duration>(expected) + hang_grace;
-}
-
 auto executor::check_requesters(time_point now, effects& out) -> void
 {
     for (auto each = m_requesters.begin(); each != m_requesters.end();)
@@ -1488,16 +1435,17 @@
         first = std::min(first, m_clock.certainly_reached(m_lease_until_ms));
     for (auto const& [key, run] : m_live)
     {
-        if (run.m_state == run_state::stopping)
+        if (run.m_state == live_run_state::stopping)
             first = std::min(first, run.m_stop_retry_at);
-        if (run.m_state == run_state::start_unknown &&
+        if (run.m_state == live_run_state::start_unknown &&
             run.m_revoked_at == never)
             first = std::min(first,
                              m_clock.certainly_reached(run.m_lease_until_ms));
-        if (run.m_state == run_state::running && !run.m_is_hung &&
+        if (run.m_state == live_run_state::running && !run.m_is_hung &&
             run.m_expected > duration{0})
             first = std::min(first, run.m_started_at +
-                                        hang_limit(run.m_started_at, run));
+                                        hang_limit(run, m_slowness.slowness(
+                                                            run.m_started_at)));
     }
     first = std::min({first, m_offers.next_deadline(), m_links.next_deadline(),
                       m_configuration.next_deadline(),
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -6,7 +6,8 @@
 #include "core/placement/claim_table.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/link_targets.hpp"
-#include "core/placement/load_report_schedule.hpp"
+#include "core/placement/live_run.hpp"
+#include "core/placement/requester.hpp"
 #include "core/placement/room_offers.hpp"
 #include "core/placement/run_queue.hpp"
 #include "core/placement/slowness_estimate.hpp"
@@ -15,7 +16,6 @@
 #include "core/placement/worker_polls.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -88,81 +88,6 @@
     [[nodiscard]] auto waiting() const -> std::size_t;
 
 private:
-    enum class run_state : std::uint8_t
-    {
-        starting,      ///< Start ordered, not answered yet.
-        start_unknown, ///< The answer to the start was lost; it may still
-                       ///< start.
-        running,
-        stopping
-    };
-
-    struct live_run
-    {
-        std::shared_ptr<ordered_job> m_job;
-        run_ref m_ref;
-        resources m_needs;
-        duration m_expected{0};
-        run_state m_state = run_state::starting;
-        /// Run number that the worker knows.
-        std::uint32_t m_number = 0;
-        time_point m_queued_at{0};
-        time_point m_started_at{0};
-        /// When its start was confirmed. Lists that were requested earlier may
-        /// have been made before it started.
-        time_point m_confirmed_at{0};
-        /// Lease of the start, by the worker's clock.
-        std::int64_t m_lease_until_ms = 0;
-        /// It was stopped because it made no progress; its end counts as a
-        /// failure of the worker.
-        bool m_is_hung = false;
-        /// Stopped in favour of a run of the same task that another entry
-        /// ordered.
-        bool m_is_superseded = false;
-        /// To be stopped as soon as its start is confirmed.
-        bool m_is_stop_requested = false;
-        /// Its start was ordered at an earlier incarnation of the worker. The
-        /// current one can't tell whether it started there.
-        bool m_is_of_earlier_incarnation = false;
-        /// Since when it is unknown whether it has started.
-        time_point m_start_unknown_since = never;
-        /// From then on it can no longer start: the worker confirmed this, or
-        /// the lease of its start had expired. It may have started before.
-        time_point m_revoked_at = never;
-        time_point m_stop_retry_at = never;
-    };
-
-    /// State of a process that orders runs: an entry, or the leader of the
-    /// control group.
-    struct requester
-    {
-        /// Term in which it leads; 0 for an entry.
-        term_number m_term = 0;
-        /// Address where it accepts links.
-        std::string m_address;
-        /// When its link was chosen to be closed; `never` if it was not.
-        time_point m_draining_since = never;
-        bool m_is_connected = false;
-        /// The worker was announced to it on this link.
-        bool m_is_announced = false;
-        /// Newest configuration that it was notified of on this link.
-        configuration_version m_notified_version = 0;
-        std::uint64_t m_last_order = 0;
-        load_report_schedule m_load_schedule;
-        /// Its runs may continue until then.
-        time_point m_contact_until{0};
-        /// That time has passed, and its runs were ordered to stop.
-        bool m_is_contact_expired = true;
-        /// Sent again on every new link until it confirms them.
-        std::deque<runs_ended> m_unconfirmed_ends;
-        /// Ends that were not sent yet.
-        std::vector<run_end> m_unsent_ends;
-        std::vector<unmatched_end> m_unmatched_ends;
-        /// Numbers in the worker's list of those unsent ends that the leader
-        /// must record.
-        std::vector<std::uint64_t> m_unsent_end_numbers;
-    };
-
     using requesters = std::map<node_id, requester>;
 
     using live_key = std::pair<std::string, task_index>;
@@ -240,8 +165,6 @@
     /// Reports to the requester that a waiting run was not started.
     auto refuse(time_point now, waiting_run const& refused, reason why,
                 effects& out) -> void;
-    auto log_end(time_point now, std::string const& job, live_run const& run,
-                 run_outcome outcome, reason why, effects& out) const -> void;
     auto record_outcome(time_point now, live_run const& ended,
                         run_outcome outcome) -> void;
     auto handle_end(time_point now, ended_run const& ended, effects& out)
@@ -288,8 +211,6 @@
     /// Chooses a token that is larger than any that the worker has seen.
     auto raise_token(time_point now) -> void;
     [[nodiscard]] auto target() const -> worker_target;
-    [[nodiscard]] auto hang_limit(time_point now, live_run const& run) const
-        -> duration;
 
     executor_settings m_settings;
     link_targets m_links;
