Start no work of serve in evacuated failure domains

The dispatcher knows agents by name only when it drains them, so an operator who wants a failure domain empty has to drain each of its agents. It now treats the agents of evacuated domains as drained, also those that announce themselves later, and a drained agent stays drained when its domain is restored. An agent that has the set refuses starts ("draining", not run), because a leader may have bound them before it applied the change. It keeps the set with the highest revision, logs evacuations_adopted and sets hickorylatch_worker_evacuated.

--- a/src/core/dispatch/agent_table.cpp
+++ b/src/core/dispatch/agent_table.cpp
@@ -153,7 +153,7 @@
     entry.m_service = &m_services[info.m_service];
     agent.m_info = info;
     agent.m_is_present = true;
-    agent.m_is_drained = is_drained(info.m_name);
+    agent.m_is_drained = is_drained(info);
     reindex(agent);
     return agent;
 }
@@ -239,9 +239,20 @@
 auto agent_table::set_drained(std::span<std::string const> names) -> void
 {
     m_drained = {names.begin(), names.end()};
+    update_drained();
+}
+
+auto agent_table::set_evacuated(evacuations const& evacuated) -> void
+{
+    m_evacuated = evacuated;
+    update_drained();
+}
+
+auto agent_table::update_drained() -> void
+{
     for (auto& [node, entry] : m_agents)
     {
-        entry.m_state.m_is_drained = is_drained(entry.m_state.m_info.m_name);
+        entry.m_state.m_is_drained = is_drained(entry.m_state.m_info);
         reindex(entry.m_state);
     }
 }
@@ -265,9 +276,10 @@
     return m_backlogged;
 }
 
-auto agent_table::is_drained(std::string_view name) const -> bool
+auto agent_table::is_drained(agent_info const& info) const -> bool
 {
-    return m_drained.contains(name);
+    return m_drained.contains(info.m_name) ||
+           m_evacuated.contains(info.m_failure_domain);
 }
 
 auto agent_table::unindex(node_id node, record& entry) -> void
--- a/src/core/dispatch/agent_table.hpp
+++ b/src/core/dispatch/agent_table.hpp
@@ -110,6 +110,8 @@
     [[nodiscard]] auto find(node_id node) const -> agent_state const*;
     auto reindex(agent_state& agent) -> void;
     auto set_drained(std::span<std::string const> names) -> void;
+    /// Agents in an evacuated failure domain count as drained.
+    auto set_evacuated(evacuations const& evacuated) -> void;
 
     [[nodiscard]] auto agents_of(std::string_view service) const
         -> service_agents const&;
@@ -119,7 +121,7 @@
         -> std::set<std::pair<time_point, node_id>> const&;
     /// Agents with queued items.
     [[nodiscard]] auto backlogged() const -> std::set<node_id> const&;
-    [[nodiscard]] auto is_drained(std::string_view name) const -> bool;
+    [[nodiscard]] auto is_drained(agent_info const& info) const -> bool;
 
 private:
     struct record
@@ -134,11 +136,13 @@
         std::uint64_t m_capacity = 0;
     };
 
+    auto update_drained() -> void;
     auto unindex(node_id node, record& entry) -> void;
 
     std::map<node_id, record> m_agents;
     std::map<std::string, service_agents, std::less<>> m_services;
     std::set<std::string, std::less<>> m_drained;
+    evacuations m_evacuated;
     std::set<std::pair<time_point, node_id>> m_trials;
     std::set<node_id> m_backlogged;
 };
--- a/src/core/dispatch/dispatch_state.cpp
+++ b/src/core/dispatch/dispatch_state.cpp
@@ -137,6 +137,17 @@
                              entry.second.m_quota == 0;
                   });
     m_agents.set_drained(config.m_drained);
+    mark_all_ready();
+}
+
+auto dispatch_state::apply(evacuations const& evacuated) -> void
+{
+    m_agents.set_evacuated(evacuated);
+    mark_all_ready();
+}
+
+auto dispatch_state::mark_all_ready() -> void
+{
     for (auto const& [name, state] : m_services)
         m_ready_services.insert(name);
     m_ready_agents = m_agents.backlogged();
--- a/src/core/dispatch/dispatch_state.hpp
+++ b/src/core/dispatch/dispatch_state.hpp
@@ -86,6 +86,7 @@
     /// Removes a running attempt and returns it.
     auto remove_running(attempt_id attempt) -> std::optional<running_item>;
     auto apply(configuration const& config) -> void;
+    auto apply(evacuations const& evacuated) -> void;
     /// Attempts that start on endpoints from now on count as ending this long
     /// before their predicted end.
     auto set_prediction_lead(duration lead) -> void;
@@ -119,6 +120,8 @@
     [[nodiscard]] auto ready_services() -> std::set<std::string, std::less<>>&;
 
 private:
+    auto mark_all_ready() -> void;
+
     /// A queued item that is held while its move is committed.
     struct held_item
     {
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -60,6 +60,11 @@
     m_state->apply(config);
 }
 
+auto dispatcher::apply(evacuations const& evacuated) -> void
+{
+    m_state->apply(evacuated);
+}
+
 auto dispatcher::report_usage(node_id node, std::uint32_t used_millicores,
                               std::uint32_t used_memory_mb) -> void
 {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "core/dispatch/task_binder.hpp"
 #include "core/dispatch/work_item.hpp"
 #include "core/model/configuration.hpp"
+#include "core/model/evacuations.hpp"
 #include "core/model/ids.hpp"
 #include "core/model/message.hpp"
 #include "core/model/time.hpp"
@@ -44,6 +45,8 @@
     /// Applies queue limits, quotas and the names of drained agents. Work that
     /// is already queued stays.
     auto apply(configuration const& config) -> void;
+    /// Treats the agents of evacuated failure domains as drained.
+    auto apply(evacuations const& evacuated) -> void;
     /// Corrects the declared sizes of the tasks at a worker by its usage
     /// report. The correction is gradual because reports lag behind.
     auto report_usage(node_id agent, std::uint32_t used_millicores,
--- a/src/core/model/evacuations.hpp
+++ b/src/core/model/evacuations.hpp
@@ -28,6 +28,15 @@
 
     auto operator==(evacuations const&) const -> bool = default;
 };
+/// The names separated by commas, for log lines.
+[[nodiscard]] inline auto domains_field(evacuations const& evacuated)
+    -> std::string
+{
+    auto text = std::string{};
+    for (auto const& domain : evacuated.m_failure_domains)
+        text.append(text.empty() ? "" : ",").append(domain);
+    return text;
+}
 BOOST_DESCRIBE_STRUCT(evacuations, (), (m_revision, m_failure_domains))
 
 } // namespace hickorylatch::core
--- a/src/core/roles/agent.cpp
+++ b/src/core/roles/agent.cpp
@@ -55,6 +55,8 @@
         on(*acknowledged);
     else if (auto const* grant = std::get_if<renewed>(&incoming))
         m_lease.extend(from, *grant);
+    else if (auto const* evacuated = std::get_if<evacuations>(&incoming))
+        on(*evacuated, out);
     drop_received_results();
 }
 
@@ -103,7 +105,7 @@
 {
     if (m_refused.contains(order.m_attempt))
         return reason::cancelled;
-    if (m_is_stopping)
+    if (m_is_stopping || m_evacuated.contains(m_info.m_failure_domain))
         return reason::draining;
     if (!m_lease.is_valid(now))
         return reason::lease_expired;
@@ -168,6 +170,22 @@
     }
 }
 
+auto agent::on(evacuations const& received, effects& out) -> void
+{
+    if (received.m_revision <= m_evacuated.m_revision)
+        return;
+    out.emplace_back(
+        log_line{log_level::info,
+                 "evacuations_adopted",
+                 {{"revision", std::to_string(received.m_revision)},
+                  {"domains", domains_field(received)},
+                  {"before", domains_field(m_evacuated)}}});
+    m_evacuated = received;
+    auto const is_evacuated = m_evacuated.contains(m_info.m_failure_domain);
+    out.emplace_back(observe_metric{
+        "hickorylatch_worker_evacuated", {}, is_evacuated ? 1.0 : 0.0});
+}
+
 auto agent::call_finished(time_point now, core::call_finished const& call,
                           effects& out) -> void
 {
--- a/src/core/roles/agent.hpp
+++ b/src/core/roles/agent.hpp
@@ -50,6 +50,8 @@
             random_source& random, effects& out) -> void;
     auto on(time_point now, stop_attempt const& order, effects& out) -> void;
     auto on(core::forget const& order) -> void;
+    /// Keeps the evacuations with the highest revision.
+    auto on(evacuations const& received, effects& out) -> void;
     /// Drops results of uncommitted attempts that the leader has received.
     auto drop_received_results() -> void;
 
@@ -61,6 +63,7 @@
                                       core::start const& order) const -> reason;
 
     agent_info m_info;
+    evacuations m_evacuated;
     lease m_lease;
     std::map<attempt_id, running_call> m_running;
     struct retained_result
--- a/src/observe/metric_definition.cpp
+++ b/src/observe/metric_definition.cpp
@@ -19,6 +19,10 @@
      gauge,
      "Version of the configuration in force.",
      {}},
+    {"hickorylatch_evacuated_domains",
+     gauge,
+     "Failure domains in which no task is started.",
+     {}},
     {"hickorylatch_is_leader",
      gauge,
      "1 if this control replica leads, else 0.",
@@ -75,6 +79,10 @@
      counter,
      "Messages that brought no answer nearer, by kind.",
      {"kind"}},
+    {"hickorylatch_worker_evacuated",
+     gauge,
+     "1 if the failure domain of this agent is evacuated, else 0.",
+     {}},
 });
 
 static_assert(std::ranges::is_sorted(definitions, {},
--- a/tests/core/dispatch/test_dispatcher_agents.cpp
+++ b/tests/core/dispatch/test_dispatcher_agents.cpp
@@ -133,6 +133,34 @@
     BOOST_TEST(m_dispatcher.running("desk") == 0);
 }
 
+// Guards against new work in an evacuated failure domain, for agents that were
+// known before and for one that announces itself later, and against a drained
+// agent that gets work when its domain is restored.
+BOOST_AUTO_TEST_CASE(agents_of_evacuated_domains_get_no_work)
+{
+    add_worker(1, 10, 0, "klang");
+    add_worker(2, 10, 0, "bayan");
+    m_dispatcher.apply(evacuations{7, {"klang"}});
+    add_worker(3, 10, 0, "klang");
+    auto const allotted = [&](std::uint32_t cores)
+    {
+        auto wanted = task{};
+        wanted.m_cores = cores;
+        auto const tasks = std::vector{wanted};
+        auto const agents = m_dispatcher.allot(tasks);
+        m_dispatcher.release(tasks, agents);
+        return agents;
+    };
+    BOOST_TEST((allotted(1) == std::vector{node_id{2}}));
+    m_dispatcher.apply(evacuations{8, {"bayan", "klang"}});
+    BOOST_TEST(allotted(1).empty());
+    auto config = configuration{};
+    config.m_drained = {"worker-1"};
+    m_dispatcher.apply(config);
+    m_dispatcher.apply(evacuations{9, {"bayan"}});
+    BOOST_TEST((allotted(1) == std::vector{node_id{3}}));
+}
+
 // Guards against wrong free resources after an agent announces itself again:
 // known attempts count once, with their declared sizes.
 BOOST_AUTO_TEST_CASE(announced_attempts_occupy_their_declared_size)
