Replicate the set of evacuated failure domains

Operators have no command that empties a failure domain and survives a loss of power. set_evacuation is a command of the log and an operation that every replica takes and passes on to the leader.

- Acknowledged once the entry is committed.
If the set is in the requested state already, there is no entry, but a quorum has to confirm the leader after the command arrived.
- Each command has a number, by which the state applies it once, and by which a replica that has lost the leader's answer acknowledges a committed command instead of sending it to the next leader.
Otherwise it would take effect again after a later command that was acknowledged.
- A name that is not in the settings is refused where the operator's call arrives, not by the leader, which may have other settings.

Ruled out: to keep the number in the pending operation only. The replica that takes the call and the leader would then have to be the same process.

--- a/src/core/model/command.hpp
+++ b/src/core/model/command.hpp
@@ -160,13 +160,27 @@
 };
 BOOST_DESCRIBE_STRUCT(change_agents, (), (m_added, m_removed))
 
+/// Evacuates or restores a failure domain. Changes nothing if the domain is in
+/// the requested state already or a command with this number has been applied.
+struct set_evacuation
+{
+    std::string m_failure_domain;
+    /// False restores the domain.
+    bool m_is_evacuated = false;
+    /// Identifies the operator's request; 0 in a request without a number,
+    /// which the first replica that handles it then numbers.
+    std::uint64_t m_number = 0;
+};
+BOOST_DESCRIBE_STRUCT(set_evacuation, (),
+                      (m_failure_domain, m_is_evacuated, m_number))
+
 /// Content of an entry of the replicated log. The position of an alternative is
 /// part of the stored format: new alternatives go to the end.
 using command =
     std::variant<begin_term, accept_submission, reallot, end_submission,
                  change_configuration, expire_keys, change_membership,
                  install_configuration, accept_job, record_ends, drop_job,
-                 forget_jobs, change_agents>;
+                 forget_jobs, change_agents, set_evacuation>;
 
 /// Bytes of caller- and operator-supplied content in a command. The rest of a
 /// command is small.
--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -120,7 +120,8 @@
 
 struct query_status
 {
-    /// Document to return: "status", "jobs", "configuration" or "agents".
+    /// Document to return: "status", "jobs", "configuration", "agents"
+    /// or "evacuations".
     std::string m_subject;
 };
 BOOST_DESCRIBE_STRUCT(query_status, (), (m_subject))
@@ -187,7 +188,7 @@
     std::variant<query_status, change_configuration, cancel_job,
                  change_membership, bootstrap_control_group,
                  install_configuration, read_configuration, post_job, find_job,
-                 cancel_durable_job, count_waiting_jobs>;
+                 cancel_durable_job, count_waiting_jobs, set_evacuation>;
 
 struct operate
 {
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -78,6 +78,7 @@
     else if (peer.m_needs_configuration && m_coordinator &&
              m_replica.has_quorum(now))
         out.emplace_back(send{peer.m_node, current_configuration()});
+    send_evacuations(context, peer);
     advance(context);
 }
 
@@ -237,6 +238,14 @@
     auto result = operate_result{};
     result.m_verdict.m_run = run_state::ran;
     result.m_version = m_state.config().m_version;
+    if (auto const* evacuation = std::get_if<set_evacuation>(&requested))
+    {
+        if (auto const why = check(who, *evacuation))
+        {
+            answer_operator(context.m_out, who, {0, *why, 0, {}});
+            return;
+        }
+    }
     if (pending_operations::accepts(requested))
     {
         if (!m_pending.add(context.m_now, who, requested))
@@ -368,6 +377,11 @@
         observe_metric{"hickorylatch_configuration_version",
                        {},
                        static_cast<double>(m_state.config().m_version)});
+    out.emplace_back(observe_metric{
+        "hickorylatch_evacuated_domains",
+        {},
+        static_cast<double>(
+            m_state.evacuated().m_current.m_failure_domains.size())});
 }
 
 auto control::replace_seeds(time_point now,
@@ -404,7 +418,12 @@
     {
         m_applied_index = m_snapshot_index = installed->m_last_index;
         if (auto image = m_codec.m_decode(installed->m_data))
+        {
+            auto const revision = m_state.evacuated().m_current.m_revision;
             m_state = control_state{std::move(*image)};
+            if (m_state.evacuated().m_current.m_revision != revision)
+                evacuations_changed(context);
+        }
         notify_subscribers(context);
     }
     for (auto const& entry : m_replica.take_committed())
@@ -584,6 +603,7 @@
 auto control::apply(control_context const& context, log_entry const& entry)
     -> void
 {
+    auto const evacuation_revision = m_state.evacuated().m_current.m_revision;
     m_state.apply(entry);
     m_applied_index = entry.m_index;
     m_bytes_since_snapshot += content_size(entry.m_command);
@@ -594,6 +614,8 @@
     if (m_job_runner)
         m_job_runner->applied(context.m_now, entry, context.m_random,
                               context.m_out);
+    if (m_state.evacuated().m_current.m_revision != evacuation_revision)
+        evacuations_changed(context);
     auto const* change = std::get_if<change_configuration>(&entry.m_command);
     auto const* members = std::get_if<change_membership>(&entry.m_command);
     auto const is_installation =
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -108,6 +108,15 @@
     /// the end of each event.
     auto advance(control_context const& context) -> void;
     auto apply(control_context const& context, log_entry const& entry) -> void;
+    /// Verdict if the command is not accepted.
+    [[nodiscard]] auto check(operation_requester who,
+                             set_evacuation const& change) const
+        -> std::optional<verdict>;
+    /// Logs the evacuations and sends them to all entries and agents.
+    auto evacuations_changed(control_context const& context) -> void;
+    /// Sends the evacuations to this peer if it needs them.
+    auto send_evacuations(control_context const& context, hello const& peer)
+        -> void;
     [[nodiscard]] auto current_configuration() const -> configuration_changed;
     /// Sends the configuration to the processes that get it from the leader
     /// only.
@@ -180,7 +189,8 @@
 };
 
 /// JSON document on the subject that an operator queries: `configuration`,
-/// `agents`, `jobs`; for any other subject the status of the replica.
+/// `agents`, `jobs`, `evacuations`; for any other subject the status of the
+/// replica.
 [[nodiscard]] auto status_document(control const& source, time_point now,
                                    std::string_view subject) -> std::string;
 
--- a/src/core/roles/control_state.cpp
+++ b/src/core/roles/control_state.cpp
@@ -17,7 +17,8 @@
 
 control_state::control_state(control_image image)
     : m_configuration{std::move(image.m_configuration)}, m_jobs{std::move(
-                                                             image.m_jobs)}
+                                                             image.m_jobs)},
+      m_evacuations{std::move(image.m_evacuations)}
 {
     std::ranges::stable_sort(image.m_submissions, {},
                              &submission_record::m_ended_at);
@@ -33,6 +34,8 @@
 {
     if (auto const* accepted = std::get_if<accept_job>(&entry.m_command))
         return m_jobs.apply(entry.m_index, *accepted);
+    if (auto const* change = std::get_if<set_evacuation>(&entry.m_command))
+        return m_evacuations.apply(entry.m_index, *change);
     std::visit(
         [this](auto const& command)
         {
@@ -44,7 +47,8 @@
 template <typename Command>
 auto control_state::on(Command const& command) -> void
 {
-    if constexpr (!std::is_same_v<Command, accept_job>)
+    if constexpr (!std::is_same_v<Command, accept_job> &&
+                  !std::is_same_v<Command, set_evacuation>)
         m_jobs.apply(command);
 }
 
@@ -53,6 +57,7 @@
     auto result = control_image{};
     result.m_configuration = m_configuration;
     result.m_jobs = m_jobs.image();
+    result.m_evacuations = m_evacuations;
     for (auto const& [id, record] : m_submissions)
         result.m_submissions.push_back(record);
     for (auto const& request_id : m_outcome_order)
@@ -67,6 +72,11 @@
     return m_jobs;
 }
 
+auto control_state::evacuated() const -> evacuation_record const&
+{
+    return m_evacuations;
+}
+
 auto control_state::config() const -> configuration const&
 {
     return m_configuration;
--- a/src/core/roles/control_state.hpp
+++ b/src/core/roles/control_state.hpp
@@ -3,6 +3,7 @@
 
 #include "core/jobs/job_store.hpp"
 #include "core/model/command.hpp"
+#include "core/model/evacuation_record.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -59,10 +60,11 @@
     std::vector<operator_outcome> m_outcomes;
     std::vector<expiry_watermark> m_expiry_watermarks;
     job_store_image m_jobs;
+    evacuation_record m_evacuations;
 };
 BOOST_DESCRIBE_STRUCT(control_image, (),
                       (m_configuration, m_submissions, m_outcomes,
-                       m_expiry_watermarks, m_jobs))
+                       m_expiry_watermarks, m_jobs, m_evacuations))
 
 /// State machine that the committed commands are applied to. The state is the
 /// same on every replica.
@@ -91,6 +93,7 @@
     [[nodiscard]] auto submissions() const
         -> std::map<submission_id, submission_record> const&;
     [[nodiscard]] auto jobs() const -> job_store const&;
+    [[nodiscard]] auto evacuated() const -> evacuation_record const&;
     /// End time of the submission that ended first; 0 if none has ended.
     [[nodiscard]] auto first_end_time() const -> unix_milliseconds;
 
@@ -112,6 +115,7 @@
 
     configuration m_configuration;
     job_store m_jobs;
+    evacuation_record m_evacuations;
     std::map<submission_id, submission_record> m_submissions;
     std::map<std::pair<std::string, std::string>, submission_id> m_ids_by_key;
     /// Ended submissions, ordered by end time.
--- a/src/core/roles/coordinator.cpp
+++ b/src/core/roles/coordinator.cpp
@@ -42,6 +42,7 @@
                                                                   context.m_now}
 {
     m_dispatcher.apply(context.m_state.config());
+    m_dispatcher.apply(context.m_state.evacuated().m_current);
     recover(context);
 }
 
--- a/src/core/roles/coordinator.hpp
+++ b/src/core/roles/coordinator.hpp
@@ -19,7 +19,7 @@
 namespace hickorylatch::core
 {
 
-/// Time limits and size limits of the control leader.
+/// Settings of a control replica.
 struct control_settings
 {
     /// For durable step jobs.
@@ -47,6 +47,8 @@
     log_index m_snapshot_interval = 20'000;
     /// Bytes of content between two snapshots. Limits what a restart reads.
     std::size_t m_snapshot_bytes = std::size_t{64} << 20U;
+    /// The failure domains that can be evacuated; every domain if empty.
+    std::vector<std::string> m_failure_domains;
 };
 
 /// The leader's state of an agent that has announced itself.
--- a/src/core/roles/coordinator_commits.cpp
+++ b/src/core/roles/coordinator_commits.cpp
@@ -18,6 +18,8 @@
         on_reallotted(context, *moved);
     else if (std::holds_alternative<change_configuration>(entry.m_command))
         m_dispatcher.apply(context.m_state.config());
+    else if (std::holds_alternative<set_evacuation>(entry.m_command))
+        m_dispatcher.apply(context.m_state.evacuated().m_current);
 }
 
 auto coordinator::on_accepted(control_context const& context, submission_id id)
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -19,11 +19,22 @@
 constexpr auto maximum_open_jobs = std::size_t{10'000};
 constexpr auto open_jobs_retry_ms = std::uint32_t{1'000};
 
-/// The result of an operation that requests a job that has ended. Any replica
-/// that knows the end can answer, because it never changes.
-auto ended_job_result(operation const& requested, control_state const& state)
+/// The result of an operation that requests a job that has ended, or of a
+/// command that was committed. Any replica that knows it can answer, because it
+/// never changes. In particular, a replica does not forward a committed command
+/// to the next leader, which would repeat it after a later one was confirmed.
+auto final_result(operation const& requested, control_state const& state)
     -> std::optional<operate_result>
 {
+    if (auto const* change = std::get_if<set_evacuation>(&requested))
+    {
+        if (!state.evacuated().has_applied(change->m_number))
+            return std::nullopt;
+        auto result = operate_result{};
+        result.m_verdict.m_run = run_state::ran;
+        result.m_version = state.config().m_version;
+        return result;
+    }
     auto const* found = std::get_if<find_job>(&requested);
     auto const* job =
         found == nullptr ? nullptr : state.jobs().find(found->m_id);
@@ -49,7 +60,8 @@
            std::holds_alternative<post_job>(requested) ||
            std::holds_alternative<find_job>(requested) ||
            std::holds_alternative<cancel_durable_job>(requested) ||
-           std::holds_alternative<count_waiting_jobs>(requested);
+           std::holds_alternative<count_waiting_jobs>(requested) ||
+           std::holds_alternative<set_evacuation>(requested);
 }
 
 auto pending_operations::add(time_point now, operation_requester requester,
@@ -61,6 +73,9 @@
     added.m_number = ++m_last_number;
     added.m_requester = requester;
     added.m_operation = std::move(requested);
+    if (auto* change = std::get_if<set_evacuation>(&added.m_operation);
+        change != nullptr && change->m_number == 0)
+        change->m_number = added.m_number;
     if (auto const* found = std::get_if<find_job>(&added.m_operation))
         added.m_wait_until = now + std::chrono::milliseconds{found->m_wait_ms};
     added.m_deadline = std::max(now, added.m_wait_until) + answer_timeout;
@@ -105,7 +120,7 @@
     auto completed = std::vector<completed_operation>{};
     auto const try_complete = [&](pending& waiting) -> bool
     {
-        auto result = ended_job_result(waiting.m_operation, state);
+        auto result = final_result(waiting.m_operation, state);
         if (!result && is_leading)
             result = execute_as_leader(now, waiting, log, state, runner);
         if (!result && now >= waiting.m_deadline)
@@ -169,6 +184,8 @@
         propose(waiting, log, *wanted);
         return std::nullopt;
     }
+    if (auto const* change = std::get_if<set_evacuation>(&requested))
+        return execute_as_leader(now, waiting, log, state, *change);
     if (auto const* posted = std::get_if<post_job>(&requested))
     {
         if (state.jobs().find(posted->m_job.m_id) != nullptr)
@@ -215,6 +232,36 @@
     return result;
 }
 
+auto pending_operations::execute_as_leader(time_point now, pending& waiting,
+                                           replica& log,
+                                           control_state const& state,
+                                           set_evacuation const& change)
+    -> std::optional<operate_result>
+{
+    auto result = operate_result{};
+    result.m_version = state.config().m_version;
+    if (state.evacuated().is_as_requested(change))
+    {
+        // Without the confirmation a leader that was suspended would
+        // acknowledge a command that the current leader has reversed.
+        if (!is_leadership_confirmed(now, waiting, log))
+            return std::nullopt;
+        result.m_verdict.m_run = run_state::ran;
+        return result;
+    }
+    // An earlier leader may have proposed the command already.
+    if (waiting.m_proposed_term == 0 && waiting.m_forward_count == 0 &&
+        change.m_is_evacuated && state.evacuated().is_full())
+    {
+        result.m_verdict = refused(
+            reason::queue_full, std::to_string(max_evacuated_domains) +
+                                    " failure domains are evacuated already");
+        return result;
+    }
+    propose(waiting, log, change);
+    return std::nullopt;
+}
+
 auto pending_operations::next_deadline() const -> time_point
 {
     auto first = never;
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -29,8 +29,9 @@
 };
 
 /// Operations that every replica accepts: installations and reads of the
-/// configuration, and the entries' operations on durable jobs. The leader
-/// completes them; another replica forwards them as soon as it knows a leader.
+/// configuration, evacuations and restorations of failure domains, and the
+/// entries' operations on durable jobs. The leader completes them; another
+/// replica forwards them as soon as it knows a leader.
 class pending_operations
 {
 public:
@@ -86,6 +87,10 @@
     auto execute_as_leader(time_point now, pending& waiting, replica& log,
                            control_state const& state, job_runner const* runner)
         -> std::optional<operate_result>;
+    auto execute_as_leader(time_point now, pending& waiting, replica& log,
+                           control_state const& state,
+                           set_evacuation const& change)
+        -> std::optional<operate_result>;
     /// Proposes the command once per term.
     auto propose(pending& waiting, replica& log, command wanted) -> void;
     /// True once a quorum has confirmed that this replica led when the request
--- a/src/core/roles/status_document.cpp
+++ b/src/core/roles/status_document.cpp
@@ -47,8 +47,11 @@
         auto const& drained = source.state().config().m_drained;
         auto const is_drained =
             std::ranges::find(drained, info.m_name) != drained.end();
+        auto const is_evacuated = source.state().evacuated().m_current.contains(
+            info.m_failure_domain);
         auto const* state = !link.m_is_connected ? "disconnected"
                             : info.m_leaving     ? "leaving"
+                            : is_evacuated       ? "evacuated"
                             : is_drained         ? "drained"
                             : leader->task_dispatcher().is_on_probation(node)
                                 ? "probation"
@@ -112,6 +115,13 @@
             {"drained", json::value_from(config.m_drained)}};
 }
 
+auto evacuations_of(control const& source) -> json::object
+{
+    auto const& current = source.state().evacuated().m_current;
+    return {{"revision", current.m_revision},
+            {"failure_domains", json::value_from(current.m_failure_domains)}};
+}
+
 } // namespace
 
 auto status_document(control const& source, time_point now,
@@ -124,6 +134,8 @@
             json::object{{"agents", agents_of(source, now)}});
     if (subject == "jobs")
         return json::serialize(json::object{{"jobs", jobs_of(source)}});
+    if (subject == "evacuations")
+        return json::serialize(evacuations_of(source));
     auto const& log = source.log();
     return json::serialize(json::object{
         {"node", to_hexadecimal(log.identity())},
@@ -135,6 +147,7 @@
         {"last_index", log.last_index()},
         {"commit_index", log.commit_index()},
         {"configuration_version", source.state().config().m_version},
+        {"evacuations", evacuations_of(source)},
         {"members", members_of(source)},
         {"submissions", source.state().submissions().size()},
         {"live",
--- a/src/storage/inspect.cpp
+++ b/src/storage/inspect.cpp
@@ -19,7 +19,7 @@
     {"begin_term", "accept_submission", "reallot", "end_submission",
      "change_configuration", "expire_keys", "change_membership",
      "install_configuration", "accept_job", "record_ends", "drop_job",
-     "forget_jobs", "change_agents"});
+     "forget_jobs", "change_agents", "set_evacuation"});
 static_assert(command_names.size() == std::variant_size_v<core::command>);
 
 auto print_command(std::ostream& out, core::command const& value) -> void
@@ -44,6 +44,9 @@
     if (auto const* installed =
             std::get_if<core::install_configuration>(&value))
         out << " version=" << installed->m_configuration.m_version;
+    if (auto const* change = std::get_if<core::set_evacuation>(&value))
+        out << " failure_domain=\"" << change->m_failure_domain
+            << "\" evacuated=" << (change->m_is_evacuated ? "yes" : "no");
 }
 
 auto print_members(std::ostream& out, std::vector<core::member> const& members)
--- a/tests/core/roles/fake_system.cpp
+++ b/tests/core/roles/fake_system.cpp
@@ -80,10 +80,11 @@
 }
 
 auto fake_system::add_agent(std::string const& name, core::agent_kind kind,
-                            std::string const& service, std::uint32_t slots)
-    -> void
+                            std::string const& service, std::uint32_t slots,
+                            std::string const& failure_domain) -> void
 {
-    m_processes[name].m_create = [this, name, kind, service, slots]
+    m_processes[name].m_create =
+        [this, name, kind, service, slots, failure_domain]
     {
         auto made = std::make_unique<core::node>();
         made->m_id = core::node_id{m_random()};
@@ -93,6 +94,7 @@
         info.m_name = name;
         info.m_kind = kind;
         info.m_service = service;
+        info.m_failure_domain = failure_domain;
         info.m_slots = slots;
         info.m_cores = slots;
         info.m_memory_mb = 1024 * slots;
--- a/tests/core/roles/fake_system.hpp
+++ b/tests/core/roles/fake_system.hpp
@@ -50,7 +50,8 @@
     auto add_control(std::string const& name) -> void;
     auto add_entry(std::string const& name) -> void;
     auto add_agent(std::string const& name, core::agent_kind kind,
-                   std::string const& service, std::uint32_t slots) -> void;
+                   std::string const& service, std::uint32_t slots,
+                   std::string const& failure_domain = {}) -> void;
     /// Founds the group with all control replicas and applies a configuration
     /// with the customers `acme` and `urgent` and the service `desk`.
     auto bootstrap() -> void;
--- a/tests/core/roles/test_pending_operations.cpp
+++ b/tests/core/roles/test_pending_operations.cpp
@@ -17,13 +17,12 @@
 constexpr auto first_leader = core::node_id{71};
 constexpr auto second_leader = core::node_id{72};
 
-/// A replica that does not lead and has one durable job to forward.
+/// A replica that does not lead and has one operation to forward.
 struct follower
 {
-    follower()
+    explicit follower(core::operation const& requested = core::post_job{{}, {}})
     {
-        BOOST_REQUIRE(
-            m_pending.add(now, {core::node_id{5}, 1}, core::post_job{{}, {}}));
+        BOOST_REQUIRE(m_pending.add(now, {core::node_id{5}, 1}, requested));
     }
 
     /// Number of the operation if it was sent to this leader.
@@ -71,3 +70,22 @@
                                    : core::run_state::not_run)));
     }
 }
+
+// Guards against a committed evacuation that a replica, which has lost the
+// leader's answer, forwards to the next leader: it would be applied again after
+// the operator has restored the domain.
+BOOST_AUTO_TEST_CASE(a_committed_evacuation_is_not_forwarded_again)
+{
+    auto replica = follower{core::set_evacuation{"klang", true, 9}};
+    BOOST_TEST(replica.forward_to(first_leader).has_value());
+    replica.m_pending.link_changed(first_leader);
+    replica.m_state.apply({1, 1, core::set_evacuation{"klang", true, 9}});
+    replica.m_state.apply({2, 1, core::set_evacuation{"klang", false, 10}});
+    auto out = core::effects{};
+    auto const done =
+        replica.m_pending.advance(now, replica.m_log, replica.m_state, false,
+                                  second_leader, nullptr, out);
+    BOOST_TEST(out.empty());
+    BOOST_REQUIRE(done.size() == 1U);
+    BOOST_TEST((done[0].m_result.m_verdict.m_run == core::run_state::ran));
+}
