Let the settings name the known failure domains

A misspelt name would be stored and acknowledged as an evacuation that empties nothing. control.failure_domains lists the names that operators can evacuate; it is empty by default, and then every name is accepted. On the platform it holds the keys of the table zones.

--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -59,6 +59,19 @@
     return toml::find_or<toml::value>(table, name, toml::value(toml::table{}));
 }
 
+/// The keys of the table, sorted; none if it is missing.
+auto read_keys(toml::value const& file, std::string const& name)
+    -> std::vector<std::string>
+{
+    auto keys = std::vector<std::string>{};
+    if (!file.contains(name) || !file.at(name).is_table())
+        return keys;
+    for (auto const& [key, value] : file.at(name).as_table())
+        keys.push_back(key);
+    std::ranges::sort(keys);
+    return keys;
+}
+
 auto read_number(toml::value const& table, std::string const& name,
                  double fallback) -> double
 {
@@ -110,6 +123,7 @@
         out.m_advertised_ip = read(file, "ip", std::string{});
         out.m_listen_ip = out.m_advertised_ip;
         out.m_failure_domain = read(file, "zone", std::string{});
+        out.m_failure_domains = read_keys(file, "zones");
         out.m_worker_address = read(file, "app", std::string{});
         out.m_seeds = read(file, "seeds", std::vector<std::string>{});
         out.m_is_first_start = read(file, "bootstrap", false);
@@ -201,6 +215,7 @@
     control.m_data_folder = host.m_data_folder;
     control.m_segment_bytes = segment_bytes;
     control.m_snapshot_interval_bytes = snapshot_interval_bytes;
+    control.m_failure_domains = host.m_failure_domains;
     control.m_placement = to_placement(host);
     control.m_job_retention_s = host.m_job_retention_s * job_retention_factor;
     control.m_group.m_seeds = out.m_control_addresses;
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -32,6 +32,8 @@
     std::string m_listen_ip;
     /// The platform's "zone".
     std::string m_failure_domain;
+    /// Names of all failure domains (keys of the table "zones"), sorted.
+    std::vector<std::string> m_failure_domains;
     /// "ip:port" where clients connect ("frontend"); empty unless this is an
     /// entry.
     std::string m_clients_address;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -218,6 +218,7 @@
     options.m_content_limit = m_settings.m_frame_limit_bytes / 2;
     options.m_snapshot_interval = control.m_snapshot_interval_entries;
     options.m_snapshot_bytes = control.m_snapshot_interval_bytes;
+    options.m_failure_domains = control.m_failure_domains;
     options.m_jobs.m_placer = to_placer_settings(control.m_placement);
     options.m_jobs.m_retention =
         std::chrono::seconds{control.m_job_retention_s};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <span>
 #include <utility>
 
@@ -63,7 +64,10 @@
 
     auto read(std::string_view key, std::vector<std::string>& out) -> void
     {
-        m_object.read_strings(key, field_at(key).m_presence, out);
+        auto const& field = field_at(key);
+        m_object.read_strings(key, field.m_presence, out);
+        if (field.m_type == field_type::names)
+            return check_names(key, out);
         for (auto index = std::size_t{0}; index < out.size(); ++index)
             check_address(join_path(key, index), 1, out[index]);
     }
@@ -114,6 +118,20 @@
             check_address(key, lowest_port, out);
     }
 
+    auto check_names(std::string_view key, std::span<std::string const> names)
+        -> void
+    {
+        auto seen = std::set<std::string_view>{};
+        for (auto index = std::size_t{0}; index < names.size(); ++index)
+        {
+            if (!is_name(names[index]))
+                m_object.fail(join_path(key, index), "expected a name");
+            if (!seen.insert(names[index]).second)
+                m_object.fail(join_path(key, index),
+                              "duplicate name \"" + names[index] + "\"");
+        }
+    }
+
     auto check_address(std::string_view key, int lowest_port,
                        std::string_view text) -> void
     {
@@ -179,6 +197,7 @@
     in.read("snapshot_interval_entries", out.m_snapshot_interval_entries);
     in.read("snapshot_interval_bytes", out.m_snapshot_interval_bytes);
     in.read("segment_bytes", out.m_segment_bytes);
+    in.read("failure_domains", out.m_failure_domains);
     in.read("fsync", out.m_fsync);
     in.object().reject_unknown_keys();
     return out;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -90,6 +90,9 @@
     /// Size of a log segment in bytes, preallocated when it is created.
     /// Default: 16 MiB.
     std::uint32_t m_segment_bytes = 16'777'216;
+    /// Failure domains that operators can evacuate. Default: empty, every name
+    /// is accepted.
+    std::vector<std::string> m_failure_domains = {};
     /// Syncs every write before it is acknowledged. Default: true. False is for
     /// tests only: acceptances can be lost when a VM stops.
     bool m_fsync = true;
--- a/src/settings/settings_field.cpp
+++ b/src/settings/settings_field.cpp
@@ -224,6 +224,13 @@
      "bytes",
      "Size of one file of the log, reserved when it is created",
      {65'536, 1'073'741'824}},
+    {"control.failure_domains",
+     names,
+     optional,
+     "empty",
+     "",
+     "Failure domains that operators can evacuate; empty accepts every name",
+     {}},
     {"control.fsync",
      flag,
      optional,
@@ -331,6 +338,8 @@
         return "ip:port, port 0 for any";
     case addresses:
         return "array of ip:port";
+    case names:
+        return "array of names";
     case number:
         return "number from " + std::to_string(field.m_range.m_lowest) +
                " to " + std::to_string(field.m_range.m_highest);
--- a/src/settings/settings_field.hpp
+++ b/src/settings/settings_field.hpp
@@ -20,6 +20,7 @@
     address,   ///< "ip:port", port 1 to 65535.
     listener,  ///< "ip:port", port 0 to 65535; 0 for any free port.
     addresses, ///< Array of `address`.
+    names,     ///< Array of `name`.
     number,
     flag,
     section
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -39,6 +39,10 @@
 [bounds]
 maxHoldMs = 1000
 spreadFactor = 1.5
+[zones.klang]
+racks = 2
+[zones.bayan]
+racks = 3
 )"};
 
 auto parse_settings(std::string const& text) -> parsed<platform::host_settings>
@@ -74,6 +78,22 @@
     BOOST_TEST(entry.m_value->m_broker->m_placement.m_loads_per_s == 1'920U);
 }
 
+// Guards against a control process that accepts the evacuation of a failure
+// domain that does not exist.
+BOOST_AUTO_TEST_CASE(the_zones_are_the_known_failure_domains)
+{
+    auto const host = parse_settings(example_text);
+    BOOST_REQUIRE_MESSAGE(host.m_value, host.m_error);
+    auto const control = convert(*host.m_value, platform::duty::control);
+    BOOST_REQUIRE_MESSAGE(control.m_value, control.m_error);
+    BOOST_TEST(control.m_value->m_control->m_failure_domains ==
+               (std::vector<std::string>{"bayan", "klang"}));
+    auto const text = example_text.substr(0, example_text.find("[zones"));
+    auto const without = parse_settings(text);
+    BOOST_REQUIRE_MESSAGE(without.m_value, without.m_error);
+    BOOST_TEST(without.m_value->m_failure_domains.empty());
+}
+
 BOOST_AUTO_TEST_CASE(platform_settings_are_translated)
 {
     auto const host = parse_settings(example_text);
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -114,6 +114,29 @@
                             << errors);
 }
 
+// Guards against a misspelt or repeated name of a failure domain.
+BOOST_AUTO_TEST_CASE(failure_domains_are_unique_names)
+{
+    auto const with_domains = [](std::string const& domains)
+    {
+        return R"({"name": "a", "failure_domain": "d",
+            "control_addresses": ["127.0.0.1:1"],
+            "control": {"listen_address": "127.0.0.1:4", "data_folder": "data",
+                        "operators_address": "127.0.0.1:5",
+                        "failure_domains": )" +
+               domains + "}}";
+    };
+    auto const parsed = parse(with_domains(R"(["klang", "bayan"])"));
+    BOOST_TEST(to_string(parsed.m_errors) == "");
+    BOOST_TEST(parsed.m_value->m_control->m_failure_domains ==
+               (std::vector<std::string>{"klang", "bayan"}));
+    auto const errors = errors_of(with_domains(R"(["klang", " ", "klang"])"));
+    BOOST_TEST(errors.find("failure_domains[1]: expected a name") !=
+               std::string::npos);
+    BOOST_TEST(errors.find("failure_domains[2]: duplicate name") !=
+               std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(invalid_syntax_is_reported_with_its_position)
 {
     BOOST_TEST(errors_of("{\n  \"name\": ]}") ==
