Let operators evacuate and restore failure domains

The replicated set had no way in. POST /v1/evacuations takes a record of schema version 1 or 2, GET returns the set and its revision, and ctl has evacuate, restore and evacuations; status shows the set, and agents those of its domains as evacuated. A record's command number is drawn from its request id and content, so a record that is sent again is not applied a second time, and another change under the same id is not taken for it.

--- a/src/hickorylatch/ctl_command.cpp
+++ b/src/hickorylatch/ctl_command.cpp
@@ -180,6 +180,18 @@
         call, client.post("/v1/configuration", json::serialize(config)));
 }
 
+auto set_evacuated(ctl_call const& call, bool is_evacuated) -> int
+{
+    return post_and_print(
+        call, "/v1/evacuations",
+        json::serialize(
+            json::object{{"schema_version", 2},
+                         {"request_id", call.m_request_id},
+                         {"failure_domain",
+                          call.argument(1, "the name of a failure domain")},
+                         {"evacuated", is_evacuated}}));
+}
+
 auto replace_member(ctl_call const& call) -> int
 {
     auto leader_client =
@@ -283,6 +295,21 @@
          {
              return set_drained(call, false);
          }},
+        {"evacuate DOMAIN", "start no more tasks in a failure domain",
+         [](ctl_call const& call)
+         {
+             return set_evacuated(call, true);
+         }},
+        {"restore DOMAIN", "start tasks there again",
+         [](ctl_call const& call)
+         {
+             return set_evacuated(call, false);
+         }},
+        {"evacuations", "evacuated failure domains",
+         [](ctl_call const& call)
+         {
+             return get_and_print(call, "/v1/evacuations");
+         }},
         {"found MEMBERS", "found the control group (address a control process)",
          found_group},
         {"replace-member NODE", "replace a control member, with --new",
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -141,6 +141,8 @@
                        net::http_request const& request) -> bool;
     auto handle_job(net::http_server& server, net::http_request const& request)
         -> void;
+    auto handle_evacuation(net::http_server& server,
+                           net::http_request const& request) -> void;
     auto handle_operator_change(net::http_server& server,
                                 net::http_request const& request) -> void;
     auto handle_members(net::http_server& server,
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -2,6 +2,7 @@
 #include "process/process.hpp"
 
 #include "settings/configuration_record.hpp"
+#include "settings/evacuation_record.hpp"
 #include "settings/job_record.hpp"
 
 #include <boost/json.hpp>
@@ -120,6 +121,10 @@
         submit_operation(server, request, core::query_status{"jobs"});
     else if (is_get && path == "/v1/configuration")
         submit_operation(server, request, core::query_status{"configuration"});
+    else if (is_get && path == "/v1/evacuations")
+        submit_operation(server, request, core::query_status{"evacuations"});
+    else if (request.m_method == "POST" && path == "/v1/evacuations")
+        handle_evacuation(server, request);
     else if (request.m_method == "POST" && path == "/v1/jobs")
         handle_job(server, request);
     else
@@ -158,6 +163,27 @@
         });
 }
 
+auto process::handle_evacuation(net::http_server& server,
+                                net::http_request const& request) -> void
+{
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(change,
+                            settings::parse_evacuation_record(request.m_body));
+            submit_operation(server, request, std::move(change));
+            return {};
+        },
+        [&](settings::parse_errors const& errors)
+        {
+            refuse(server, request.m_exchange, 400, to_string(errors, "; "));
+        },
+        [&]
+        {
+            refuse(server, request.m_exchange, 400, "not understood");
+        });
+}
+
 auto process::handle_operator_change(net::http_server& server,
                                      net::http_request const& request) -> void
 {
--- a/tests/system/process_faults.py
+++ b/tests/system/process_faults.py
@@ -696,10 +696,8 @@
     require(new > version, f"version {version} then {new}")
 
     def has_new_version(name):
-        text = exchange(system.operators[name], "GET", "/metrics")[2].decode()
-        lines = [line.split() for line in text.splitlines()]
-        return [int(float(line[1])) for line in lines if line
-                and line[0] == "hickorylatch_configuration_version"] == [new]
+        return metric(system.operators[name],
+                      "hickorylatch_configuration_version") == [new]
     wait_until(lambda: all(map(has_new_version, system.roles())),
                f"version {new} in the metrics of every process", 5)
     print(f"time racing_operators: in force everywhere after "
@@ -710,6 +708,76 @@
             "a resent change created a new version")
 
 
+def metric(address, name):
+    """Values of a metric without labels, at most one."""
+    text = exchange(address, "GET", "/metrics")[2].decode()
+    lines = [line.split() for line in text.splitlines()]
+    return [int(float(line[1])) for line in lines if line and line[0] == name]
+
+
+def evacuated_domain(system, _):
+    """Guards against starts in an evacuated failure domain, against an
+    evacuation that a loss of all control replicas undoes, and against requests
+    that stay unanswered when the domain is restored."""
+    entry = system.operators["entry-1"]
+
+    def require_ctl(address, *arguments):
+        code, text = system.ctl(address, *arguments)
+        require(code == 0, f"ctl {arguments} failed with {code}: {text}")
+
+    def shows(domains):
+        return all(get_json(address, "/v1/evacuations")["failure_domains"]
+                   == domains for address in
+                   [entry, *(system.operators[each] for each in system.listen)])
+
+    def agents_report(value):
+        return all(metric(system.operators[name],
+                          "hickorylatch_worker_evacuated") == [value]
+                   for name in system.roles()
+                   if name not in system.listen and name not in system.callers)
+    follower = next(name for name in system.listen if name != system.leader())
+    require_ctl(system.operators[follower], "evacuate", "Klang")
+    index = system.status(system.wait_for_leader())["last_index"]
+    require_ctl(entry, "evacuate", "Klang")
+    status = system.status(system.wait_for_leader())
+    require(status["last_index"] == index and
+            status["evacuations"]["failure_domains"] == ["Klang"],
+            f"after a repeated evacuation at {index}: {status}")
+    wait_until(lambda: shows(["Klang"]) and agents_report(1),
+               "the evacuation is known everywhere")
+    for name in system.listen:
+        system[name].kill()
+    for name in system.listen:
+        system[name].start()
+    system.wait_for_leader()
+    wait_until(lambda: shows(["Klang"]), "the evacuation after a restart")
+    wait_until(lambda: {each["state"] for each in
+                        get_json(entry, "/v1/agents")["agents"]}
+               == {"evacuated"}, "all agents are shown as evacuated")
+    wait_until(lambda: all(exchange(system.operators[name], "GET", "/ready")[0]
+                           == 200 for name in system.callers), "entries ready")
+    started = lambda: sum(system.counts(address)["started"]
+                          for address in (system.shared_endpoint,
+                                          system.dedicated_endpoint))
+    before = started()
+    requests = [Request(OTHER_PATH, 20) for _ in range(4)]
+    with concurrent.futures.ThreadPoolExecutor(len(requests)) as pool:
+        sent = [pool.submit(each.send, system.entries()[number % 2])
+                for number, each in enumerate(requests)]
+        wait_until(lambda: system.status(system.wait_for_leader())["live"]
+                   == len(requests), "the requests wait at the leader")
+        require(started() == before, "starts in an evacuated domain")
+        require_ctl(entry, "restore", "Klang")
+        concurrent.futures.wait(sent)
+    require_correct_answers(requests)
+    wait_until(lambda: shows([]) and agents_report(0),
+               "the restoration is known everywhere")
+    code, text = system.ctl(entry, "evacuate", "K" * 129)
+    require(code == 1 and "failure_domain" in text,
+            f"a name that is too long: {code} {text}")
+    system.wait_ready()
+
+
 def malformed_input(system, _):
     """Guards against malformed input that terminates a process or blocks its
     ports."""
@@ -742,7 +810,8 @@
 
 
 CHECKS = [killed_leader, frozen_leader, restarted_group, emptied_disk,
-          killed_agent, stopped_roles, racing_operators, malformed_input]
+          killed_agent, stopped_roles, racing_operators, evacuated_domain,
+          malformed_input]
 
 
 def run_checks(program, checks):
