--- a/tests/storage/test_recovery.cpp
+++ b/tests/storage/test_recovery.cpp
@@ -110,6 +110,28 @@
     }
 }
 
+// Guards against an evacuation that is lost, or read as another command, when
+// the log is recovered.
+BOOST_AUTO_TEST_CASE(evacuations_are_recovered_from_the_log)
+{
+    auto const scratch = scratch_folder{};
+    auto write = core::append_log{};
+    write.m_entries = {{1, 1, core::set_evacuation{"klang", true, 5}},
+                       {2, 1, core::set_evacuation{"klang", false, 6}}};
+    write_each(scratch.path(), {&write, 1});
+    auto const opened = open_folder(scratch.path());
+    BOOST_REQUIRE_MESSAGE(opened.m_value, opened.m_error);
+    auto const& entries = opened.m_value->m_recovered.m_entries;
+    BOOST_REQUIRE(entries.size() == 2U);
+    for (auto const& entry : entries)
+    {
+        auto const& change = std::get<core::set_evacuation>(entry.m_command);
+        BOOST_TEST(change.m_failure_domain == "klang");
+        BOOST_TEST(change.m_is_evacuated == (entry.m_index == 1));
+        BOOST_TEST(change.m_number == entry.m_index + 4);
+    }
+}
+
 // Guards against a torn tail in preallocated space that damages later writes.
 BOOST_AUTO_TEST_CASE(
     writes_continue_after_a_truncated_tail_in_preallocated_space)
