Take evacuations at the platform's control port

Operators of the platform call POST and DELETE /api/evacuate/ZONE at any control process and end a call at some statuses. A name that is no zone, and any other method, is answered 400, a body of more than 1,024 bytes 413, both with the reason and without effect; 503 is the answer to everything that may be stored.

A request with a method that libevent does not pass on (OPTIONS, TRACE) is still answered 501 by the server. platform: 24 tests pass.

--- a/src/platform/operators_api.cpp
+++ b/src/platform/operators_api.cpp
@@ -1,6 +1,7 @@
 #include "platform/operators_api.hpp"
 
 #include "platform/configuration_body.hpp"
+#include "platform/evacuation_request.hpp"
 #include "platform/json_reader.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -49,6 +50,8 @@
         install(request);
     else if (request.m_path == configuration_path && request.m_method == "GET")
         submit_operation(request, core::read_configuration{});
+    else if (is_evacuation_path(request.m_path))
+        evacuate(request);
     else
         send(request.m_exchange, 503, "{}");
 }
@@ -82,11 +85,36 @@
         });
 }
 
+auto operators_api::evacuate(net::http_request const& request) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(change, parse_evacuation(request));
+            submit_operation(request, std::move(change));
+            return {};
+        },
+        [&](rejected_request const& rejected)
+        {
+            m_process.log(
+                {core::log_level::warning,
+                 "evacuation_rejected",
+                 {{"cause", rejected.m_text}, {"from", request.m_remote}}});
+            send(request.m_exchange, make_rejection(rejected));
+        },
+        [&]
+        {
+            send(request.m_exchange, make_rejection({400, "not understood"}));
+        });
+}
+
 auto operators_api::submit_operation(net::http_request const& request,
                                      core::operation operation) -> void
 {
     auto const operation_id = m_process.allocate_exchange_id();
-    m_pending_exchanges[operation_id] = request.m_exchange;
+    m_pending_exchanges[operation_id] = {
+        request.m_exchange,
+        std::holds_alternative<core::set_evacuation>(operation)};
     m_process.handle_event(
         core::operation_arrived{operation_id, std::move(operation)});
 }
@@ -96,9 +124,14 @@
     auto const found = m_pending_exchanges.find(reply.m_exchange);
     if (found == m_pending_exchanges.end())
         return;
-    auto const exchange = found->second;
+    auto const [exchange, is_evacuation] = found->second;
     m_pending_exchanges.erase(found);
     auto const& result = reply.m_result;
+    if (is_evacuation)
+    {
+        send(exchange, make_evacuation_answer(result.m_verdict));
+        return;
+    }
     auto const has_result = result.m_verdict.m_run == core::run_state::ran;
     // Version 0: no configuration has been installed yet.
     if (!has_result || result.m_version == 0)
@@ -115,4 +148,11 @@
                      body);
 }
 
+auto operators_api::send(core::exchange_id exchange,
+                         net::http_answer const& answer) -> void
+{
+    m_server->answer(exchange, answer.m_status, answer.m_headers,
+                     answer.m_body);
+}
+
 } // namespace hickorylatch::platform
--- a/src/platform/operators_api.hpp
+++ b/src/platform/operators_api.hpp
@@ -32,17 +32,27 @@
 
     auto handle(net::http_request const& request) -> void;
     auto install(net::http_request const& request) -> void;
+    /// Evacuates or restores a failure domain.
+    auto evacuate(net::http_request const& request) -> void;
     auto submit_operation(net::http_request const& request,
                           core::operation operation) -> void;
     auto answer(core::reply_operator const& reply) -> void;
     auto send(core::exchange_id exchange, std::uint16_t status,
               std::string_view body) -> void;
+    auto send(core::exchange_id exchange, net::http_answer const& answer)
+        -> void;
+
+    struct pending_exchange
+    {
+        /// Exchange id of the server.
+        core::exchange_id m_exchange = 0;
+        bool m_is_evacuation = false;
+    };
 
     process::process& m_process;
     net::http_server* m_server = nullptr;
-    /// Exchanges of the server by the exchange id of their operation.
-    std::unordered_map<core::exchange_id, core::exchange_id>
-        m_pending_exchanges;
+    /// By the exchange id of their operation.
+    std::unordered_map<core::exchange_id, pending_exchange> m_pending_exchanges;
 };
 
 } // namespace hickorylatch::platform
