--- a/src/core/placement/known_evacuations.cpp
+++ b/src/core/placement/known_evacuations.cpp
@@ -1,30 +1,12 @@
 #include "core/placement/known_evacuations.hpp"
 
 #include <algorithm>
-#include <span>
 #include <string>
 #include <utility>
 
 namespace hickorylatch::core
 {
 
-namespace
-{
-
-auto joined(std::span<std::string const> names) -> std::string
-{
-    auto list = std::string{};
-    for (auto const& name : names)
-    {
-        if (!list.empty())
-            list += ',';
-        list += name;
-    }
-    return list;
-}
-
-} // namespace
-
 auto known_evacuations::adopt(evacuations const& received, effects& out) -> bool
 {
     if (received.m_revision <= m_current.m_revision)
@@ -32,14 +14,14 @@
     auto const before = std::exchange(m_current, received);
     auto& domains = m_current.m_failure_domains;
     std::ranges::sort(domains);
-    auto const repeated = std::ranges::unique(domains);
-    domains.erase(repeated.begin(), repeated.end());
+    // clang's analysis can't compile `std::ranges::unique` of this library.
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
     out.emplace_back(
         log_line{log_level::info,
                  "evacuations_adopted",
                  {{"revision", std::to_string(m_current.m_revision)},
-                  {"domains", joined(domains)},
-                  {"before", joined(before.m_failure_domains)}}});
+                  {"domains", domains_field(m_current)},
+                  {"before", domains_field(before)}}});
     return true;
 }
 
--- a/src/core/roles/agent.hpp
+++ b/src/core/roles/agent.hpp
@@ -3,6 +3,7 @@
 
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
+#include "core/placement/known_evacuations.hpp"
 #include "core/roles/lease.hpp"
 
 #include <map>
@@ -50,6 +51,7 @@
             random_source& random, effects& out) -> void;
     auto on(time_point now, stop_attempt const& order, effects& out) -> void;
     auto on(core::forget const& order) -> void;
+    auto on(evacuations const& received, effects& out) -> void;
     /// Drops results of uncommitted attempts that the leader has received.
     auto drop_received_results() -> void;
 
@@ -61,6 +63,7 @@
                                       core::start const& order) const -> reason;
 
     agent_info m_info;
+    known_evacuations m_evacuations;
     lease m_lease;
     std::map<attempt_id, running_call> m_running;
     struct retained_result
