--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -31,9 +31,9 @@
 control::control(control_settings settings, replica_settings log_settings,
                  recovered_state const& recovered, image_codec codec,
                  std::string address, group_settings const& group)
-    : m_settings{settings}, m_replica{log_settings, recovered}, m_codec{codec},
-      m_address{std::move(address)}, m_membership_planner{group},
-      m_has_group_settings{!group.m_seeds.empty()},
+    : m_settings{std::move(settings)}, m_replica{log_settings, recovered},
+      m_codec{codec}, m_address{std::move(address)},
+      m_membership_planner{group}, m_has_group_settings{!group.m_seeds.empty()},
       m_is_volatile{group.m_is_volatile}, m_links{{.m_seeds = group.m_seeds,
                                                    .m_name = m_address,
                                                    .m_control_limit =
