Evacuate failure domains in the soak

Nothing checks evacuations against faults of processes, links and disks. The soak's machines are in three failure domains now. While faults are injected, an operator evacuates one domain after the other at random control replicas, restores each 5.5 to 8 s after the acknowledgement, and repeats a command until it is acknowledged. Any 4xx, or a restoration that is not acknowledged within 15 s, is a violation, and so is a start at a worker of the domain later than 5 s after the acknowledgement. Links that are blocked or delayed and the loss of all control replicas may cut an agent off from the group; until 5 s after them starts are not judged.

--- a/tests/system/soak/__main__.py
+++ b/tests/system/soak/__main__.py
@@ -17,7 +17,7 @@
 import time
 
 from . import deployment
-from .callers import Balancer, Client, Operator
+from .callers import Balancer, Client, Evacuator, Operator
 from .deployment import Deployment
 from .faults import Faults
 from .checker import Checker
@@ -77,7 +77,8 @@
         self.links = LinkProxies({each.listen_ip: each.name
                                   for each in self.system.machines})
         self.workers = [
-            Worker("i-" + each.name, each.listen_ip, deployment.WORKER_PORT,
+            Worker("i-" + each.name, each.failure_domain, each.listen_ip,
+                   deployment.WORKER_PORT,
                    (each.listen_ip, deployment.CONTROL_PORT), self.checker,
                    16000, random.Random(self.rng.random()))
             for each in self.system.machines if each.is_worker]
@@ -103,6 +104,9 @@
         balancer = Balancer(self.system.with_duty("entry"))
         operator = Operator(self.system.with_duty("control"), self.checker,
                             self.rng)
+        # Random numbers of its own: kept seeds depend on the shared ones.
+        evacuator = Evacuator(operator, self.checker,
+                              random.Random(f"evacuator {self.options.seed}"))
         balancer_task = asyncio.create_task(balancer.run())
         if not await operator.change_configuration(STARTUP_LIMIT_S):
             self.checker.report_violation("no configuration was acknowledged")
@@ -131,8 +135,11 @@
         fault_end_time = time.monotonic() + self.options.seconds
         operator_task = asyncio.create_task(
             operator.run(lambda: fault_end_time))
+        evacuator_task = asyncio.create_task(
+            evacuator.run(lambda: fault_end_time))
         await faults.run(lambda: fault_end_time, self.options.pause)
         await operator_task
+        await evacuator_task
         await asyncio.sleep(RECOVERY_S)
         await self.check_recovery(operator, load_end_time)
         await asyncio.gather(*client_tasks)
--- a/tests/system/soak/callers.py
+++ b/tests/system/soak/callers.py
@@ -6,7 +6,7 @@
 
 from . import deployment
 from . import wire
-from .checker import Job
+from .checker import EVACUATE_LIMIT_S, Job
 
 CLIENT_TIMEOUT_S = 8.0
 RESEND_DELAY_S = 1.3
@@ -24,6 +24,8 @@
 # Upper bound for a round trip on loopback on a busy machine.
 IDLE_CLOSE_RACE_S = 0.02
 OPERATOR_TIMEOUT_S = 1.0
+# A new leader is found well within this time.
+COMMAND_LIMIT_S = 15.0
 
 
 class Balancer:
@@ -190,12 +192,13 @@
                             "slackFactor": 1.6}],
                 "limits": {}}
 
-    async def send_request(self, control, method, body=b""):
+    async def send_request(self, control, method, body=b"",
+                           path="/api/config"):
         connection = wire.Connection(control.machine.listen_ip,
                                      deployment.CONTROL_PORT)
         try:
             return await asyncio.wait_for(
-                connection.exchange(method, "/api/config", body),
+                connection.exchange(method, path, body),
                 OPERATOR_TIMEOUT_S)
         finally:
             connection.close()
@@ -240,3 +243,46 @@
                 await self.change_configuration(5.0)
             await self.read_configuration(self.rng.choice(self.controls))
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+
+
+class Evacuator:
+    """Evacuates one failure domain after the other and restores it."""
+
+    def __init__(self, operator, checker, rng):
+        self.operator = operator
+        self.checker = checker
+        self.rng = rng
+
+    async def send_command(self, method, failure_domain, end):
+        """Sends the command to random replicas until one acknowledges it."""
+        while time.monotonic() < end:
+            control = self.rng.choice(self.operator.controls)
+            try:
+                status, _, _ = await self.operator.send_request(
+                    control, method, path=f"/api/evacuate/{failure_domain}")
+            except (OSError, asyncio.TimeoutError):
+                status = 0
+            if status == 200:
+                return True
+            if 400 <= status < 500:
+                self.checker.report_violation(
+                    f"EVACUATION {method} {failure_domain} refused with "
+                    f"{status}")
+                return False
+            await asyncio.sleep(0.2)
+        return False
+
+    async def run(self, end_time):
+        while time.monotonic() < end_time():
+            failure_domain = self.rng.choice(deployment.FAILURE_DOMAINS)
+            if await self.send_command("POST", failure_domain,
+                                       time.monotonic() + COMMAND_LIMIT_S):
+                self.checker.evacuation_acknowledged(failure_domain)
+            await asyncio.sleep(EVACUATE_LIMIT_S + self.rng.uniform(0.5, 3.0))
+            self.checker.restoration_requested(failure_domain)
+            if not await self.send_command("DELETE", failure_domain,
+                                           time.monotonic() + COMMAND_LIMIT_S):
+                self.checker.report_violation(
+                    f"EVACUATION {failure_domain} was not restored within "
+                    f"{COMMAND_LIMIT_S} s")
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
--- a/tests/system/soak/checker.py
+++ b/tests/system/soak/checker.py
@@ -2,11 +2,13 @@
 run."""
 
 import collections
+import contextlib
 import json
 import time
 
 # Bounds of the platform that the deployment's settings name.
 DRAIN_LIMIT_S = 2.0
+EVACUATE_LIMIT_S = 5.0
 # Allowed beyond the bound: the time that a report takes from the worker to its
 # agent.
 REPORT_DELAY_S = 0.3
@@ -74,6 +76,12 @@
         self.violations = []
         self.active_runs = collections.defaultdict(dict)
         self.acknowledged_versions = []
+        # Failure domains with the time of the acknowledged evacuation.
+        self.evacuated_at = {}
+        # Faults in progress that may separate agents from the control group,
+        # and the end of the last one.
+        self.separations = 0
+        self.separation_ended_at = 0.0
         # Successful ends of the tasks of durable jobs.
         self.done_ends = collections.defaultdict(list)
         self.counts = collections.Counter()
@@ -118,8 +126,29 @@
                 time.monotonic() > \
                 drain_reported_at + DRAIN_LIMIT_S + REPORT_DELAY_S:
             self.report_violation(f"DRAIN {task} at {worker.name}")
+        self.check_evacuation(worker, task)
         return json.loads(spec)
 
+    def check_evacuation(self, worker, task):
+        evacuated_at = self.evacuated_at.get(worker.failure_domain)
+        if evacuated_at is None or self.separations:
+            return
+        if time.monotonic() > EVACUATE_LIMIT_S + max(evacuated_at,
+                                                     self.separation_ended_at):
+            self.report_violation(f"EVACUATED {task} at {worker.name} in "
+                                  f"{worker.failure_domain}")
+
+    @contextlib.contextmanager
+    def separation(self):
+        """A fault during which agents may have no contact with the control
+        group. They then need not know of an evacuation."""
+        self.separations += 1
+        try:
+            yield
+        finally:
+            self.separations -= 1
+            self.separation_ended_at = time.monotonic()
+
     def check_durable_start(self, worker, job, task):
         for end in self.done_ends[task]:
             end.later_starts.append(worker.name)
@@ -213,6 +242,14 @@
 
     # Operators.
 
+    def evacuation_acknowledged(self, failure_domain):
+        self.counts["evacuations"] += 1
+        self.evacuated_at[failure_domain] = time.monotonic()
+
+    def restoration_requested(self, failure_domain):
+        """The restoration may be in force as soon as it is requested."""
+        self.evacuated_at.pop(failure_domain, None)
+
     def version_acknowledged(self, version):
         self.acknowledged_versions.append((time.monotonic(), version))
 
--- a/tests/system/soak/deployment.py
+++ b/tests/system/soak/deployment.py
@@ -13,6 +13,7 @@
 CONTROL_PORT = 8166
 READINESS_PORT = 8167
 STOP_GRACE_S = 6.0
+FAILURE_DOMAINS = ("za", "zb", "zc")
 
 
 def reserve_address_group():
@@ -34,6 +35,7 @@
 
     def __init__(self, name, number, address_group, has_disk, is_worker):
         self.name = name
+        self.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         self.ip = f"127.{address_group}.1.{number}"
         self.listen_ip = f"127.{address_group}.2.{number}"
         self.has_disk = has_disk
@@ -122,7 +124,8 @@
         machine = process.machine
         listen_address = lambda port: f"{machine.listen_ip}:{port}"
         lines = [f'nodeName = "{machine.name}"', f'ip = "{machine.ip}"',
-                 f'zone = "z"', f"portRange = [{LINK_PORT},{LINK_PORT + 15}]",
+                 f'zone = "{machine.failure_domain}"',
+                 f"portRange = [{LINK_PORT},{LINK_PORT + 15}]",
                  f"seeds = {self.seeds()}".replace("'", '"'),
                  f"bootstrap = {str(self.is_first_start).lower()}"]
         if process.duty == "control":
@@ -135,7 +138,8 @@
                   f'controlPlane = "{listen_address(CONTROL_PORT)}"',
                   "[limits]", "cpuShare = 0.5", "cores = 1",
                   "[faultTolerance]", "machines = 1",
-                  "[bounds]", "maxHoldMs = 1000", "spreadFactor = 1.5"]
+                  "[bounds]", "maxHoldMs = 1000", "spreadFactor = 1.5",
+                  *(f"[zones.{each}]" for each in FAILURE_DOMAINS)]
         with open(process.settings + ".new", "w") as out:
             out.write("\n".join(lines) + "\n")
         os.rename(process.settings + ".new", process.settings)
--- a/tests/system/soak/faults.py
+++ b/tests/system/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws faults at random and injects them from outside the processes."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import time
@@ -182,13 +183,16 @@
         duty = self.rng.choice(["entry", "control", "agent"])
         async with self.disk_lock:
             processes = self.system.with_duty(duty)
-            for process in processes:
-                process.kill()
-            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
-            for process in processes:
-                if not process.is_running():
-                    process.start()
-            await asyncio.sleep(CATCH_UP_S)
+            is_separation = duty == "control"
+            with (self.checker.separation() if is_separation
+                  else contextlib.nullcontext()):
+                for process in processes:
+                    process.kill()
+                await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+                for process in processes:
+                    if not process.is_running():
+                        process.start()
+                await asyncio.sleep(CATCH_UP_S)
         return duty
 
     async def crash_worker(self):
@@ -267,7 +271,8 @@
         # A machine whose links are impaired counts as lost.
         async with self.disk_lock:
             self.links.faults.append(fault)
-            await asyncio.sleep(self.rng.uniform(shortest_s, longest_s))
+            with self.checker.separation():
+                await asyncio.sleep(self.rng.uniform(shortest_s, longest_s))
             self.links.faults.remove(fault)
             await asyncio.sleep(2.0)
         return name
--- a/tests/system/soak/worker.py
+++ b/tests/system/soak/worker.py
@@ -18,9 +18,10 @@
     """One worker next to an agent, across restarts. Reports every start
     and end of a run to `checker`."""
 
-    def __init__(self, name, host, port, agent_address, checker, capacity,
-                 rng):
+    def __init__(self, name, failure_domain, host, port, agent_address,
+                 checker, capacity, rng):
         self.name = name
+        self.failure_domain = failure_domain
         self.host = host
         self.port = port
         self.agent_address = agent_address
@@ -122,7 +123,7 @@
 
     def report_body(self):
         return {"service": "desk", "address": f"{self.host}:{self.port}",
-                "zone": "z", "version": "v1", "slots": 8,
+                "zone": self.failure_domain, "version": "v1", "slots": 8,
                 "born": self.incarnation,
                 "state": "draining" if self.is_draining else "ready",
                 "coldRemainingMs": 0, "clockMs": self.clock_ms(),
