Refuse and avoid runs in evacuated failure domains

An operator must be able to empty a failure domain: no task may be started in it by any path, running tasks end, and jobs move to the other domains.

An agent in an evacuated domain refuses its waiting runs and reservations, drops its offers, refuses orders, does not resend a start that the worker rejected, and reports that it accepts nothing. Entries do not order there, decline offers from there, and forward the set to their agents on adoption and when a link opens (never at revision 0). A job that can run only in evacuated domains is refused as not run, with Retry-After, on arrival and while it waits; the others that wait are planned again at once. Durable jobs, and jobs of which a run may have started, wait for the restore. Another caller of a job that is in progress joins it even if the service has no usable worker any more: the job used to be answered as not run then.

Tests in virtual time.

--- a/src/core/jobs/job_runner.cpp
+++ b/src/core/jobs/job_runner.cpp
@@ -287,6 +287,12 @@
     remove_ended_jobs(now, out);
 }
 
+auto job_runner::set_evacuations(time_point now, evacuations const& known,
+                                 random_source& random, effects& out) -> void
+{
+    m_placer.set_evacuations(now, known, random, out);
+}
+
 auto job_runner::remove_ended_jobs(time_point now, effects& out) -> void
 {
     for (auto const& ended : m_placer.take_outcomes())
--- a/src/core/jobs/job_runner.hpp
+++ b/src/core/jobs/job_runner.hpp
@@ -49,6 +49,10 @@
     auto applied(time_point now, log_entry const& entry, random_source& random,
                  effects& out) -> void;
     auto tick(time_point now, random_source& random, effects& out) -> void;
+    /// Orders no more runs in these failure domains. Jobs that can run only
+    /// there wait until they are restored.
+    auto set_evacuations(time_point now, evacuations const& known,
+                         random_source& random, effects& out) -> void;
 
     /// Returns and clears the commands to propose, in order.
     [[nodiscard]] auto take_proposals() -> std::vector<command>;
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -80,7 +80,11 @@
     m_links.opened(peer);
     m_links.update(now, out);
     if (peer.m_role == role::agent)
+    {
         m_placer.connected(peer.m_node);
+        if (m_evacuations.current().m_revision != 0)
+            out.emplace_back(send{peer.m_node, m_evacuations.current()});
+    }
     if (peer.m_role == role::control)
         m_requests.connected(peer.m_node, out);
 }
@@ -120,6 +124,8 @@
         m_links.set_known_processes(from, *processes);
         m_links.update(now, out);
     }
+    else if (auto const* received = std::get_if<evacuations>(&incoming))
+        adopt(now, *received, random, out);
     else if (auto const* result = std::get_if<operate_result>(&incoming))
     {
         if (auto const done = m_requests.answered(from, *result, out))
@@ -128,6 +134,23 @@
     process_deferred(now, random, out);
 }
 
+auto broker::adopt(time_point now, evacuations const& received,
+                   random_source& random, effects& out) -> void
+{
+    if (!m_evacuations.adopt(received, out))
+        return;
+    auto const& current = m_evacuations.current();
+    out.emplace_back(
+        observe_metric{"hickorylatch_evacuated_domains",
+                       {},
+                       static_cast<double>(current.m_failure_domains.size())});
+    // The agents learn of it even if no control replica can reach them.
+    for (auto const agent : m_placer.workers().connected_agents())
+        out.emplace_back(send{agent, current});
+    m_placer.set_evacuations(now, current, random, out);
+    process_outcomes(now, random, out);
+}
+
 auto broker::process_outcomes(time_point now, random_source& random,
                               effects& out) -> void
 {
@@ -202,9 +225,15 @@
         return refused(reason::invalid, queue->m_unsupported_feature);
     if (request.m_job.m_is_durable && !m_takes_durable_jobs)
         return refused(reason::invalid, "jobs that must survive are not taken");
-    // A durable job waits until a worker is available.
-    if (!request.m_job.m_is_durable &&
-        !m_placer.workers().has_usable(now, queue->m_service))
+    // A durable job waits until a worker is available, and another caller of a
+    // job that is in progress here waits with the first.
+    if (request.m_job.m_is_durable || m_jobs_by_id.contains(request.m_job.m_id))
+        return job_verdict(run_state::ran, reason::none);
+    if (m_placer.requires_evacuated(request.m_job, queue->m_service))
+        return refused(reason::no_capacity,
+                       "all workers for it are in evacuated failure domains",
+                       busy_retry_ms);
+    if (!m_placer.workers().has_usable(now, queue->m_service))
         return refused(reason::no_capacity, "no worker can be reached",
                        busy_retry_ms);
     return job_verdict(run_state::ran, reason::none);
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -7,6 +7,7 @@
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/control_requests.hpp"
 #include "core/placement/job_claims.hpp"
+#include "core/placement/known_evacuations.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/run_placer.hpp"
 
@@ -76,6 +77,9 @@
     /// for the runs of another copy of their job.
     auto process_outcomes(time_point now, random_source& random, effects& out)
         -> void;
+    /// Adopts a newer set and forwards it to the agents.
+    auto adopt(time_point now, evacuations const& received,
+               random_source& random, effects& out) -> void;
     /// True if another copy of the job may have runs in progress.
     [[nodiscard]] auto needs_claim(job_arrived const& request) const -> bool;
     /// Accepts, joins, forwards or refuses a job of which no other copy has
@@ -130,6 +134,7 @@
     link_targets m_links;
     configuration_copy m_configuration;
     run_placer m_placer;
+    known_evacuations m_evacuations;
     control_requests m_requests;
     job_claims m_claims;
     std::map<std::string, std::uint64_t, std::less<>> m_jobs_by_id;
--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -240,6 +240,8 @@
     }
     else if (auto const* announcement = std::get_if<lead_jobs>(&incoming))
         on(from, *announcement, out);
+    else if (auto const* received = std::get_if<evacuations>(&incoming))
+        on(now, *received, out);
     else if (auto const* reservation = std::get_if<reserve_room>(&incoming))
         on(now, from, *reservation, out);
     else if (auto const* declined = std::get_if<decline_room>(&incoming))
@@ -261,6 +263,23 @@
     process_pending(now, out);
 }
 
+auto executor::on(time_point now, evacuations const& received, effects& out)
+    -> void
+{
+    auto const was_evacuated = is_evacuated();
+    if (!m_evacuations.adopt(received, out))
+        return;
+    out.emplace_back(observe_metric{
+        "hickorylatch_worker_evacuated", {}, is_evacuated() ? 1.0 : 0.0});
+    if (is_evacuated() == was_evacuated)
+        return;
+    m_is_load_changed = true;
+    if (!is_evacuated())
+        return;
+    m_offers.clear();
+    refuse_all_waiting(now, reason::no_capacity, out);
+}
+
 auto executor::on(time_point now, node_id from, claim_job const& wanted,
                   effects& out) -> void
 {
@@ -695,14 +714,14 @@
         break;
     case worker_answer::fenced:
         raise_token(now);
-        order_start(now, *found, out);
+        resend_start(now, found, answer.m_answer, out);
         break;
     case worker_answer::outdated:
         ++run.m_number;
-        order_start(now, *found, out);
+        resend_start(now, found, answer.m_answer, out);
         break;
     case worker_answer::late:
-        order_start(now, *found, out);
+        resend_start(now, found, answer.m_answer, out);
         break;
     default:
         start_rejected(now, found, answer.m_answer, out);
@@ -710,6 +729,15 @@
     process_pending(now, out);
 }
 
+auto executor::resend_start(time_point now, live_runs::iterator rejected,
+                            worker_answer answer, effects& out) -> void
+{
+    if (is_evacuated())
+        start_rejected(now, rejected, answer, out);
+    else
+        order_start(now, *rejected, out);
+}
+
 auto executor::start_rejected(time_point now, live_runs::iterator rejected,
                               worker_answer answer, effects& out) -> void
 {
@@ -1357,10 +1385,15 @@
     return report;
 }
 
+auto executor::is_evacuated() const -> bool
+{
+    return m_evacuations.contains(m_settings.m_failure_domain);
+}
+
 auto executor::accepts(time_point now) const -> acceptance
 {
-    if (m_is_stopping || m_is_awaiting_lease_expiry || !m_worker ||
-        !m_worker->m_is_accepting || !m_polls.is_reachable() ||
+    if (m_is_stopping || is_evacuated() || m_is_awaiting_lease_expiry ||
+        !m_worker || !m_worker->m_is_accepting || !m_polls.is_reachable() ||
         !m_has_run_list || !m_strays.empty())
         return acceptance::none;
     if (!m_health.is_on_probation())
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -5,6 +5,7 @@
 #include "core/model/effect.hpp"
 #include "core/placement/claim_table.hpp"
 #include "core/placement/configuration_copy.hpp"
+#include "core/placement/known_evacuations.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/live_run.hpp"
 #include "core/placement/requester.hpp"
@@ -102,6 +103,7 @@
     auto on(time_point now, node_id from, reserve_room const& wanted,
             effects& out) -> void;
     auto on(node_id from, lead_jobs const& announcement, effects& out) -> void;
+    auto on(time_point now, evacuations const& received, effects& out) -> void;
     auto on(time_point now, node_id from, claim_job const& wanted, effects& out)
         -> void;
     /// Adds a process that orders runs, or resets the state of its link.
@@ -151,6 +153,10 @@
                effects& out) -> run_queue::runs::const_iterator;
     auto order_start(time_point now, live_runs::value_type& started,
                      effects& out) -> void;
+    /// Sends a start again that the worker rejected, unless no more runs may
+    /// be started here.
+    auto resend_start(time_point now, live_runs::iterator rejected,
+                      worker_answer answer, effects& out) -> void;
     auto confirm_start(time_point now, live_runs::value_type& started,
                        effects& out) -> void;
     /// The order to start was rejected or not sent.
@@ -199,6 +205,8 @@
     auto announce(node_id to, requester& requester, effects& out) -> void;
     auto send_load(time_point now, effects& out) -> void;
 
+    /// True if no more runs may be started in this agent's failure domain.
+    [[nodiscard]] auto is_evacuated() const -> bool;
     [[nodiscard]] auto accepts(time_point now) const -> acceptance;
     [[nodiscard]] auto load(time_point now) const -> worker_load;
     [[nodiscard]] auto free_room() const -> resources;
@@ -217,6 +225,7 @@
     /// Kept for entries that start while no control replica can be reached. Not
     /// used by the agent itself.
     configuration_copy m_configuration;
+    known_evacuations m_evacuations;
     std::optional<worker_report> m_worker;
     unconfirmed_worker m_unconfirmed;
     /// When the last report was accepted.
--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -126,7 +126,8 @@
     -> std::optional<order_runs>
 {
     auto const& steps = job.job().m_steps;
-    if (offered.m_step >= steps.size())
+    // The agent may not have received the evacuation of its domain yet.
+    if (offered.m_step >= steps.size() || m_workers.is_evacuated(agent))
         return std::nullopt;
     auto order = order_runs{};
     order.m_offer = offered.m_offer;
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -112,14 +112,37 @@
         m_agents.erase(agent);
         m_lost_agents.push_back(agent);
     }
-    if (now < m_retry_at)
-        return;
+    if (now >= m_retry_at)
+        retry_unplaced(now, random, out);
+}
+
+auto run_placer::retry_unplaced(time_point now, random_source& random,
+                                effects& out) -> void
+{
     m_retry_at = never;
     auto const unplaced = m_unplaced;
     for (auto const number : unplaced)
         place_ready_tasks(now, number, random, out);
 }
 
+auto run_placer::set_evacuations(time_point now, evacuations const& known,
+                                 random_source& random, effects& out) -> void
+{
+    m_workers.set_evacuations(known);
+    retry_unplaced(now, random, out);
+}
+
+auto run_placer::requires_evacuated(step_job const& job,
+                                    std::string_view service) const -> bool
+{
+    return std::ranges::any_of(job.m_steps,
+                               [&](job_step const& step)
+                               {
+                                   return m_workers.requires_evacuated(service,
+                                                                       step);
+                               });
+}
+
 auto run_placer::is_unconfirmed(node_id agent, std::uint64_t number) const
     -> bool
 {
@@ -173,8 +196,15 @@
 auto run_placer::place_ready_tasks(time_point now, std::uint64_t job,
                                    random_source& random, effects& out) -> void
 {
-    if (!m_ended_jobs.contains(job))
-        execute(now, job, plan(now, job, random), out);
+    if (m_ended_jobs.contains(job))
+        return;
+    // A durable job is kept until its workers are restored. So is a job of
+    // which a run may have started: it can't be answered as not run.
+    if (auto const& ready = m_jobs.at(job);
+        !ready.job().m_is_durable && !ready.may_have_started() &&
+        requires_evacuated(ready.job(), ready.queue().m_service))
+        return set_outcome(ready, reason::no_capacity);
+    execute(now, job, plan(now, job, random), out);
 }
 
 auto run_placer::extract_job(std::uint64_t number, effects& out)
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -39,7 +39,9 @@
     std::uint64_t m_job = 0;
     /// `none` if all tasks have succeeded, `call_failed` if one has failed as
     /// often as its queue allows, `agent_lost` if that many runs of one were
-    /// lost with their workers, `superseded` if another process has the job.
+    /// lost with their workers, `superseded` if another process has the job,
+    /// `no_capacity` if it was not started and can run in evacuated failure
+    /// domains only.
     reason m_reason = reason::none;
 };
 
@@ -63,6 +65,10 @@
                  configuration_version version, random_source& random,
                  effects& out) -> bool;
     auto tick(time_point now, random_source& random, effects& out) -> void;
+    /// Places no more runs in these failure domains, and places again the jobs
+    /// that wait. Those that can't be placed any more get an outcome.
+    auto set_evacuations(time_point now, evacuations const& known,
+                         random_source& random, effects& out) -> void;
 
     /// True if the `runs_ended` message with this number was not confirmed yet.
     [[nodiscard]] auto is_unconfirmed(node_id agent, std::uint64_t number) const
@@ -120,6 +126,10 @@
     [[nodiscard]] auto workers() const -> worker_directory const&;
     /// Latency objective of the job, from its arrival.
     [[nodiscard]] auto objective(placed_job const& job) const -> duration;
+    /// True if some step of the job can run in evacuated failure domains only.
+    [[nodiscard]] auto requires_evacuated(step_job const& job,
+                                          std::string_view service) const
+        -> bool;
     [[nodiscard]] auto next_deadline() const -> time_point;
 
 private:
@@ -190,6 +200,9 @@
     /// The agent has lost its reservations.
     auto erase_reservations(node_id agent) -> void;
     auto schedule_retry(time_point now, std::uint64_t job) -> void;
+    /// Plans the jobs again that wait for room or found no worker.
+    auto retry_unplaced(time_point now, random_source& random, effects& out)
+        -> void;
 
     run_placer_settings m_settings;
     worker_directory m_workers;
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -47,6 +47,11 @@
     m_spread_factor = factor;
 }
 
+auto worker_directory::set_evacuations(evacuations const& known) -> void
+{
+    m_evacuations = known;
+}
+
 auto worker_directory::connected(node_id agent) -> void
 {
     auto& worker = m_workers[agent];
@@ -127,12 +132,18 @@
         found->second.m_load.m_free = {};
 }
 
-auto worker_directory::is_usable(time_point now, worker_state const& worker)
-    -> bool
+auto worker_directory::is_evacuated(worker_state const& worker) const -> bool
+{
+    return worker.m_is_announced &&
+           m_evacuations.contains(worker.m_announcement.m_failure_domain);
+}
+
+auto worker_directory::is_usable(time_point now,
+                                 worker_state const& worker) const -> bool
 {
     return worker.m_is_announced &&
            worker.m_load.m_accepts != acceptance::none &&
-           now - worker.m_updated_at < load_timeout;
+           now - worker.m_updated_at < load_timeout && !is_evacuated(worker);
 }
 
 auto worker_directory::choose(time_point now, placement_request const& request,
@@ -218,17 +229,23 @@
     return from.back();
 }
 
+auto worker_directory::is_suitable(worker_state const& worker,
+                                   std::string_view service,
+                                   job_step const& step) -> bool
+{
+    auto const& report = worker.m_announcement.m_worker;
+    return report.m_service == service &&
+           report.m_capacity.fits(step.m_needs) &&
+           (step.m_required_label.empty() ||
+            has_label(report, step.m_required_label));
+}
+
 auto worker_directory::can_run(time_point now, node_id agent,
                                worker_state const& worker,
-                               placement_request const& request) -> bool
+                               placement_request const& request) const -> bool
 {
-    auto const& report = worker.m_announcement.m_worker;
-    auto const& step = *request.m_step;
-    if (!is_usable(now, worker) || report.m_service != request.m_service ||
-        !report.m_capacity.fits(step.m_needs))
-        return false;
-    if (!step.m_required_label.empty() &&
-        !has_label(report, step.m_required_label))
+    if (!is_usable(now, worker) ||
+        !is_suitable(worker, request.m_service, *request.m_step))
         return false;
     if (std::ranges::find(request.m_avoided_agents, agent) !=
         request.m_avoided_agents.end())
@@ -323,6 +340,31 @@
                                });
 }
 
+auto worker_directory::is_evacuated(node_id agent) const -> bool
+{
+    auto const found = m_workers.find(agent);
+    return found != m_workers.end() && is_evacuated(found->second);
+}
+
+auto worker_directory::requires_evacuated(std::string_view service,
+                                          job_step const& step) const -> bool
+{
+    if (m_evacuations.m_failure_domains.empty())
+        return false;
+    auto has_evacuated = false;
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (!worker.m_is_announced ||
+            !worker.m_announcement.m_worker.m_is_accepting ||
+            !is_suitable(worker, service, step))
+            continue;
+        if (!is_evacuated(worker))
+            return false;
+        has_evacuated = true;
+    }
+    return has_evacuated;
+}
+
 auto worker_directory::slowness(node_id agent) const -> double
 {
     auto const found = m_workers.find(agent);
@@ -342,6 +384,14 @@
     return m_workers.contains(agent);
 }
 
+auto worker_directory::connected_agents() const -> std::vector<node_id>
+{
+    auto agents = std::vector<node_id>{};
+    for (auto const& [agent, worker] : m_workers)
+        agents.push_back(agent);
+    return agents;
+}
+
 auto worker_directory::worker_name(node_id agent) const -> std::string_view
 {
     auto const found = m_workers.find(agent);
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_CORE_PLACEMENT_WORKER_DIRECTORY_HPP
 #define HICKORYLATCH_CORE_PLACEMENT_WORKER_DIRECTORY_HPP
 
+#include "core/model/evacuations.hpp"
 #include "core/model/job.hpp"
 #include "core/model/message.hpp"
 #include "core/model/random_source.hpp"
@@ -63,6 +64,8 @@
 public:
     /// Factor on the run time of a task outside the rack with its data.
     auto set_spread_factor(double factor) -> void;
+    /// Workers in these failure domains are not usable.
+    auto set_evacuations(evacuations const& known) -> void;
 
     auto connected(node_id agent) -> void;
     auto disconnected(time_point now, node_id agent) -> void;
@@ -97,11 +100,18 @@
     [[nodiscard]] auto has_usable(time_point now,
                                   std::string_view service) const -> bool;
     [[nodiscard]] auto has_any_usable(time_point now) const -> bool;
+    [[nodiscard]] auto is_evacuated(node_id agent) const -> bool;
+    /// True if some worker could run tasks of the step, but only workers in
+    /// evacuated failure domains. Counts workers that are not usable now but
+    /// may be usable again.
+    [[nodiscard]] auto requires_evacuated(std::string_view service,
+                                          job_step const& step) const -> bool;
     /// Ratio of run times at this worker to expected run times; 1 is average.
     [[nodiscard]] auto slowness(node_id agent) const -> double;
     /// Number of the last order on the current link; 0 if there is none.
     [[nodiscard]] auto last_order(node_id agent) const -> std::uint64_t;
     [[nodiscard]] auto is_connected(node_id agent) const -> bool;
+    [[nodiscard]] auto connected_agents() const -> std::vector<node_id>;
     /// Name of the agent's worker; empty if unknown.
     [[nodiscard]] auto worker_name(node_id agent) const -> std::string_view;
     /// Time since the agent's last announcement or load; 0 if unknown.
@@ -137,12 +147,17 @@
         std::deque<unreported_run> m_unreported;
     };
 
-    [[nodiscard]] static auto is_usable(time_point now,
-                                        worker_state const& worker) -> bool;
+    [[nodiscard]] auto is_evacuated(worker_state const& worker) const -> bool;
+    [[nodiscard]] auto is_usable(time_point now,
+                                 worker_state const& worker) const -> bool;
+    /// True if the worker has the service, the capacity and the label.
+    [[nodiscard]] static auto is_suitable(worker_state const& worker,
+                                          std::string_view service,
+                                          job_step const& step) -> bool;
     /// True if the worker may run the task.
-    [[nodiscard]] static auto can_run(time_point now, node_id agent,
-                                      worker_state const& worker,
-                                      placement_request const& request) -> bool;
+    [[nodiscard]] auto can_run(time_point now, node_id agent,
+                               worker_state const& worker,
+                               placement_request const& request) const -> bool;
     /// Workers for the task whose acceptance is at least `min_acceptance`.
     [[nodiscard]] auto candidates(time_point now,
                                   placement_request const& request,
@@ -171,6 +186,7 @@
     };
 
     double m_spread_factor = 1.0;
+    evacuations m_evacuations;
     std::map<node_id, worker_state> m_workers;
     /// By the name of the worker.
     std::map<std::string, claim_candidate, std::less<>> m_claim_agents;
--- a/src/observe/metric_definition.cpp
+++ b/src/observe/metric_definition.cpp
@@ -19,6 +19,10 @@
      gauge,
      "Version of the configuration in force.",
      {}},
+    {"hickorylatch_evacuated_domains",
+     gauge,
+     "Evacuated failure domains that this process knows of.",
+     {}},
     {"hickorylatch_is_leader",
      gauge,
      "1 if this control replica leads, else 0.",
@@ -75,6 +79,11 @@
      counter,
      "Messages that brought no answer nearer, by kind.",
      {"kind"}},
+    {"hickorylatch_worker_evacuated",
+     gauge,
+     "1 if no more tasks are started at this agent's worker because its "
+     "failure domain is evacuated, else 0.",
+     {}},
 });
 
 static_assert(std::ranges::is_sorted(definitions, {},
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -101,6 +101,7 @@
         core::executor_settings{name, {}, domain});
     added.m_worker = std::make_unique<worker_model::leased_worker>(settings);
     added.m_settings = settings;
+    added.m_domain = domain;
     added.m_report.m_name = name;
     added.m_report.m_incarnation = 1;
     added.m_report.m_service = "desk";
@@ -127,6 +128,17 @@
     return known;
 }
 
+auto placement_world::evacuate(core::evacuations const& known,
+                               std::vector<std::string> const& entries) -> void
+{
+    for (auto const& name : entries)
+        run_entry(m_entries.at(name).m_node,
+                  [&](core::broker& broker, core::effects& out)
+                  {
+                      broker.receive(m_now, control_node, known, m_random, out);
+                  });
+}
+
 auto placement_world::configure(std::uint64_t version, core::duration latency)
     -> void
 {
@@ -474,8 +486,8 @@
     m_by_node.erase(state.m_node);
     state.m_node = core::node_id{1'000 + ++m_last_node};
     m_by_node[state.m_node] = &state;
-    state.m_executor =
-        std::make_unique<core::executor>(core::executor_settings{});
+    state.m_executor = std::make_unique<core::executor>(
+        core::executor_settings{name, {}, state.m_domain});
     state.m_waiting_polls.clear();
     for (auto const& [entry, each] : m_entries)
         connect(entry, name);
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -62,6 +62,11 @@
     auto configure(std::uint64_t version = 1,
                    core::duration latency = std::chrono::seconds{20}) -> void;
 
+    /// Delivers the set of evacuated failure domains to these entries, like a
+    /// control replica that has links to no other process.
+    auto evacuate(core::evacuations const& known,
+                  std::vector<std::string> const& entries) -> void;
+
     /// Posts a job. Returns its exchange.
     auto submit(std::string const& entry, std::string const& queue,
                 core::step_job job, core::duration client_wait)
@@ -129,6 +134,7 @@
         std::unique_ptr<core::executor> m_executor;
         std::unique_ptr<worker_model::leased_worker> m_worker;
         worker_model::leased_worker_settings m_settings;
+        std::string m_domain;
         core::worker_report m_report;
         order_fault m_fault = order_fault::none;
         unsigned m_fault_percent = 100;
