--- a/src/experiment/central_policy.cpp
+++ b/src/experiment/central_policy.cpp
@@ -46,6 +46,26 @@
     }
     for (auto at = std::size_t{0}; at < m_last_sent.size(); ++at)
         renew_when_idle(at);
+    if (setup.m_evacuation_length == duration{0})
+        return;
+    auto const from = setup.m_warm_up +
+                      (setup.m_measured_time - setup.m_evacuation_length) / 2;
+    for (auto const is_evacuated : {true, false})
+        system.scheduler().at(is_evacuated ? from
+                                           : from + setup.m_evacuation_length,
+                              [this, is_evacuated]
+                              {
+                                  set_evacuated(is_evacuated);
+                              });
+}
+
+auto central_policy::set_evacuated(bool is_evacuated) -> void
+{
+    auto const& setup = m_system->setup();
+    for (auto number = std::uint32_t{0}; number < setup.m_endpoints; ++number)
+        if (number % setup.m_domains == setup.m_domains - 1)
+            m_dispatcher.set_leaving(core::node_id{number + 1}, is_evacuated);
+    dispatch();
 }
 
 auto central_policy::submit(simulated_request& request) -> void
--- a/src/experiment/central_policy.hpp
+++ b/src/experiment/central_policy.hpp
@@ -35,6 +35,8 @@
     auto reply(simulated_request& request, request_end end) -> void;
     auto withdraw(simulated_request& request) -> void;
     /// Renews the lease of a process whenever it has been idle for a while.
+    /// Evacuates or restores the last failure domain.
+    auto set_evacuated(bool is_evacuated) -> void;
     auto renew_when_idle(std::size_t process) -> void;
     auto record_send(std::size_t process) -> void;
 
--- a/src/experiment/command.cpp
+++ b/src/experiment/command.cpp
@@ -54,7 +54,11 @@
         "declared-error", "factor by which declared run times are wrong",
         number("1"))("cancel", "share of requests cancelled at intervals",
                      number("0"))(
-        "committed", "share of requests that need a commit", number("0"))(
+        "evacuate",
+        "seconds for which the last failure domain is evacuated; the results "
+        "include those of the same run without it",
+        number("0"))("committed", "share of requests that need a commit",
+                     number("0"))(
         "commit-ms", "duration of a commit in milliseconds", number("5"))(
         "ahead",
         "bind tasks to slots before they are predicted to become free")(
@@ -89,6 +93,7 @@
     setup.m_straggler_factor = number("straggler");
     setup.m_declared_error = number("declared-error");
     setup.m_cancelled_share = number("cancel");
+    setup.m_evacuation_length = milliseconds(number("evacuate") * 1000);
     setup.m_committed_share = number("committed");
     setup.m_binds_early = parsed.count("ahead") > 0;
     setup.m_commit_delay = milliseconds(number("commit-ms"));
@@ -133,6 +138,10 @@
                 if (load <= 0 || entries == 0)
                     throw std::invalid_argument{
                         "load and entries must be above 0"};
+                if (setup.m_evacuation_length > duration{0} &&
+                    kind != policy_kind::central)
+                    throw std::invalid_argument{
+                        "only the central policy can evacuate a domain"};
                 setup.m_policy = kind;
                 setup.m_load = load / 100;
                 setup.m_entries = entries;
--- a/src/experiment/report.cpp
+++ b/src/experiment/report.cpp
@@ -17,16 +17,26 @@
 auto scalar_results(report const& results)
     -> std::vector<std::pair<std::string_view, estimate>>
 {
-    return {{"ideal_slowdown", results.m_ideal_slowdown},
-            {"net_slowdown", results.m_net_slowdown},
-            {"net_ratio", results.m_net_ratio},
-            {"gross_ratio", results.m_gross_ratio},
-            {"top_priority_ratio", results.m_top_priority_ratio},
-            {"goodput", results.m_goodput},
-            {"refused", results.m_refused},
-            {"failed", results.m_failed},
-            {"late", results.m_late},
-            {"wasted_per_request", results.m_all_wasted}};
+    auto values = std::vector<std::pair<std::string_view, estimate>>{
+        {"ideal_slowdown", results.m_ideal_slowdown},
+        {"net_slowdown", results.m_net_slowdown},
+        {"net_ratio", results.m_net_ratio},
+        {"gross_ratio", results.m_gross_ratio},
+        {"top_priority_ratio", results.m_top_priority_ratio},
+        {"goodput", results.m_goodput},
+        {"in_time", results.m_in_time},
+        {"refused", results.m_refused},
+        {"failed", results.m_failed},
+        {"late", results.m_late},
+        {"wasted_per_request", results.m_all_wasted}};
+    if (results.m_undisturbed)
+    {
+        values.emplace_back("undisturbed_in_time",
+                            results.m_undisturbed->m_in_time);
+        values.emplace_back("undisturbed_refused",
+                            results.m_undisturbed->m_refused);
+    }
+    return values;
 }
 
 auto to_json_object(estimate const& value) -> boost::json::object
--- a/src/experiment/report.hpp
+++ b/src/experiment/report.hpp
@@ -4,6 +4,7 @@
 #include "experiment/scenario.hpp"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -20,6 +21,13 @@
 
 [[nodiscard]] auto estimate_of(std::span<double const> samples) -> estimate;
 
+/// Shares of all measured requests of a run without the evacuation.
+struct undisturbed_results
+{
+    estimate m_in_time;
+    estimate m_refused;
+};
+
 /// Results of one run of the experiment over all its seeds. The slowdown is the
 /// response time divided by the run time; the net slowdown excludes the network
 /// delays of all messages of the request, the gross slowdown only those between
@@ -41,6 +49,7 @@
     /// slots.
     estimate m_goodput;
     /// Shares of all measured requests.
+    estimate m_in_time;
     estimate m_refused;
     estimate m_failed;
     estimate m_late;
@@ -50,6 +59,8 @@
     /// Response time at the client relative to that of the ideal queue, by
     /// priority and percentile ("p50", "p99", "p99.9").
     std::map<core::priority, std::map<std::string, estimate>> m_response_ratios;
+    /// Set if the scenario has an evacuation.
+    std::optional<undisturbed_results> m_undisturbed;
 };
 
 [[nodiscard]] auto run(scenario const& setup) -> report;
--- a/src/experiment/run.cpp
+++ b/src/experiment/run.cpp
@@ -154,6 +154,7 @@
     auto count = 0.0;
     auto ends = std::map<request_end, double>{};
     auto late = 0.0;
+    auto in_time_count = 0.0;
     auto useful_run_time = duration{0};
     auto responses =
         std::map<core::priority,
@@ -167,6 +168,7 @@
             continue;
         ++count;
         ++ends[request.m_end];
+        in_time_count += in_time ? 1 : 0;
         late += request.m_end == request_end::answered && !in_time ? 1 : 0;
         auto const& ideal_request = ideal[request.m_number];
         if (request.m_end != request_end::answered ||
@@ -196,6 +198,7 @@
         {"top_ratio", top_priority_totals.m_net_slowdown /
                           top_priority_totals.m_ideal_slowdown},
         {"goodput", core::to_seconds(useful_run_time) / capacity},
+        {"in_time", in_time_count / count},
         {"refused", ends[request_end::refused] / count},
         {"failed", ends[request_end::failed] / count},
         {"late", (late + ends[request_end::open]) / count}};
@@ -247,6 +250,7 @@
     results.m_gross_ratio = measure("gross_ratio");
     results.m_top_priority_ratio = measure("top_ratio");
     results.m_goodput = measure("goodput");
+    results.m_in_time = measure("in_time");
     results.m_refused = measure("refused");
     results.m_failed = measure("failed");
     results.m_late = measure("late");
@@ -317,7 +321,15 @@
         simulate(system);
         samples.push_back(compare(system, ideal));
     }
-    return summarize(setup, samples);
+    auto results = summarize(setup, samples);
+    if (setup.m_evacuation_length > duration{0})
+    {
+        auto undisturbed = setup;
+        undisturbed.m_evacuation_length = duration{0};
+        auto const compared = run(undisturbed);
+        results.m_undisturbed = {compared.m_in_time, compared.m_refused};
+    }
+    return results;
 }
 
 } // namespace hickorylatch::experiment
--- a/src/experiment/scenario.hpp
+++ b/src/experiment/scenario.hpp
@@ -93,6 +93,9 @@
     /// Share of recent requests that is cancelled at each interval.
     double m_cancelled_share = 0;
     duration m_cancel_interval{20'000'000};
+    /// Time for which the last failure domain is evacuated, in the middle of
+    /// the measured time; 0 for never. The central policy only.
+    duration m_evacuation_length{0};
 };
 
 [[nodiscard]] auto to_string(policy_kind kind) -> std::string;
--- a/tests/experiment/test_experiment.cpp
+++ b/tests/experiment/test_experiment.cpp
@@ -104,6 +104,28 @@
     BOOST_TEST(results.m_failed.m_mean < 0.01);
 }
 
+// Guards against refusals when the load of an evacuated domain moves to the
+// others, and against an evacuation that the run ignores.
+BOOST_AUTO_TEST_CASE(an_evacuated_domain_costs_no_refusals)
+{
+    auto setup = short_scenario(policy_kind::central, 0.7);
+    setup.m_evacuation_length = duration{30'000'000};
+    auto const results = run(setup);
+    BOOST_REQUIRE(results.m_undisturbed.has_value());
+    BOOST_TEST_MESSAGE(to_text(results));
+    BOOST_TEST(results.m_in_time.m_mean > 0.99);
+    BOOST_TEST(results.m_refused.m_mean < 0.001);
+    BOOST_TEST(results.m_undisturbed->m_in_time.m_mean >=
+               results.m_in_time.m_mean);
+    auto undisturbed = setup;
+    undisturbed.m_evacuation_length = duration{0};
+    BOOST_TEST(results.m_net_slowdown.m_mean >
+               run(undisturbed).m_net_slowdown.m_mean);
+    auto const bad = std::vector<std::string>{"experiment", "--policy",
+                                              "random", "--evacuate", "10"};
+    BOOST_TEST(experiment_main(bad) == 2);
+}
+
 // Guards against work for clients that have cancelled, and against slots lost
 // by cancellations.
 BOOST_AUTO_TEST_CASE(cancellations_free_slots)
