--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -227,7 +227,7 @@
         return refused(reason::invalid, "jobs that must survive are not taken");
     // A durable job waits until a worker is available, and another caller of a
     // job that is in progress here waits with the first.
-    if (request.m_job.m_is_durable || m_jobs_by_id.contains(request.m_job.m_id))
+    if (request.m_job.m_is_durable || is_in_progress(request, *queue))
         return job_verdict(run_state::ran, reason::none);
     if (m_placer.requires_evacuated(request.m_job, queue->m_service))
         return refused(reason::no_capacity,
@@ -307,14 +307,20 @@
         m_requests.submit({request.m_exchange, post_job{request.m_job, *queue},
                            now + to_client_wait(request.m_client_wait_ms)},
                           out);
-    else if (auto const same = m_jobs_by_id.find(request.m_job.m_id);
-             same != m_jobs_by_id.end() &&
-             m_placer.find(same->second)->queue().m_name == queue->m_name)
-        join(now, request, same->second, out);
+    else if (is_in_progress(request, *queue))
+        join(now, request, m_jobs_by_id.at(request.m_job.m_id), out);
     else
         accept_or_refuse(now, request, *queue, random, out);
 }
 
+auto broker::is_in_progress(job_arrived const& request,
+                            job_queue const& queue) const -> bool
+{
+    auto const same = m_jobs_by_id.find(request.m_job.m_id);
+    return same != m_jobs_by_id.end() &&
+           m_placer.jobs().at(same->second).queue().m_name == queue.m_name;
+}
+
 auto broker::add_caller(exchange_id exchange, std::uint64_t job) -> void
 {
     m_jobs_by_exchange[exchange] = job;
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -80,6 +80,9 @@
     /// Adopts a newer set and forwards it to the agents.
     auto adopt(time_point now, evacuations const& received,
                random_source& random, effects& out) -> void;
+    /// True if another copy of the job is in progress here, in the same queue.
+    [[nodiscard]] auto is_in_progress(job_arrived const& request,
+                                      job_queue const& queue) const -> bool;
     /// True if another copy of the job may have runs in progress.
     [[nodiscard]] auto needs_claim(job_arrived const& request) const -> bool;
     /// Accepts, joins, forwards or refuses a job of which no other copy has
