--- a/tests/system/soak/deployment.py
+++ b/tests/system/soak/deployment.py
@@ -96,6 +96,8 @@
         self.program = os.path.abspath(program)
         self.folder = folder
         self.is_first_start = True
+        # More lines of the settings' table `limits`.
+        self.limits = []
         self.seed_rotation = 0
         machine_types = ([("disk", True, False)] * disks +
                          [("edge", False, False)] * others +
@@ -133,7 +135,7 @@
                   f'frontend = "{listen_address(CLIENTS_PORT)}"',
                   f'readiness = "{listen_address(READINESS_PORT)}"',
                   f'controlPlane = "{listen_address(CONTROL_PORT)}"',
-                  "[limits]", "cpuShare = 0.5", "cores = 1",
+                  "[limits]", "cpuShare = 0.5", "cores = 1", *self.limits,
                   "[faultTolerance]", "machines = 1",
                   "[bounds]", "maxHoldMs = 1000", "spreadFactor = 1.5"]
         with open(process.settings + ".new", "w") as out:
