Bound what an HTTP server holds for its connections

Cause, confirmed by the test: evhttp keeps reading while a request is processed or a response is not read, without a bound on the input buffer. Eight clients that pipelined 201,326,400 bytes to the readiness path made the process grow from 11 MB to 208,112 kB; the input buffers held all of it.

- The input of a connection is bounded by a read watermark: the largest request, and 16 KiB while a request is processed or a response is sent.
The kernel's buffers for a connection are bounded too.
- connection_ledger, which does no I/O, holds what all connections of a process hold, and chooses which one is closed at a bound in bytes or in number.
One with a request in process comes last.
At the bound in number, the address with the most connections makes room, so that it cannot lock out others; refused connections that stay open are closed, oldest first.
- connection_account enters the buffers, parsed headers and kernel queues of a connection in the ledger.
- A request must be complete within the read timeout of its first byte, also after the first request of a connection.
A response without progress for that time is closed.
A client that keeps reading is not cut: evhttp's own timeouts are off while a response is sent.

http_server.cpp gave its conversions from evhttp to evhttp_connection.cpp.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,23 +1,21 @@
 #include "net/http_server.hpp"
 
+#include "net/evhttp_connection.hpp"
 #include "net/listener.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <new>
-#include <string>
 #include <utility>
 
 namespace hickorylatch::net
@@ -32,8 +30,17 @@
 // With more, accepting is paused.
 constexpr auto max_refused_connections = std::size_t{64};
 
-constexpr auto pending_check_interval =
-    core::duration{std::chrono::milliseconds{250}};
+// Connections accepted in one loop iteration beyond the bounds of the ledger,
+// which decides in the next iteration which ones stay.
+constexpr auto max_accepted_over_bounds = std::size_t{16};
+
+// Bytes that the kernel may hold for a connection in each direction. By default
+// it holds megabytes, which count towards the memory of the process. It doubles
+// these values for its own overhead.
+constexpr auto kernel_receive_buffer = 128 << 10;
+constexpr auto kernel_send_buffer = 128 << 10;
+
+constexpr auto check_interval = core::duration{std::chrono::milliseconds{250}};
 
 // Interval at which a client that pipelines requests is checked for a closed
 // connection.
@@ -51,78 +58,6 @@
     return ++last;
 }
 
-auto method_name(evhttp_cmd_type method) -> std::string_view
-{
-    switch (method)
-    {
-    case EVHTTP_REQ_GET:
-        return "GET";
-    case EVHTTP_REQ_POST:
-        return "POST";
-    case EVHTTP_REQ_HEAD:
-        return "HEAD";
-    case EVHTTP_REQ_PUT:
-        return "PUT";
-    case EVHTTP_REQ_DELETE:
-        return "DELETE";
-    case EVHTTP_REQ_PATCH:
-        return "PATCH";
-    default:
-        return "";
-    }
-}
-
-auto remote_address(evhttp_connection* connection) -> std::string
-{
-    char* host = nullptr;
-    auto port = ev_uint16_t{0};
-    evhttp_connection_get_peer(connection, &host, &port);
-    if (host == nullptr)
-        return {};
-    auto const is_v6 =
-        std::string_view{host}.find(':') != std::string_view::npos;
-    auto text = std::string{is_v6 ? "[" : ""};
-    text += host;
-    text += is_v6 ? "]:" : ":";
-    return text + std::to_string(port);
-}
-
-auto to_request(evhttp_request* source) -> http_request
-{
-    auto request = http_request{};
-    request.m_method = method_name(evhttp_request_get_command(source));
-    auto const* const uri = evhttp_request_get_evhttp_uri(source);
-    if (auto const* const path = evhttp_uri_get_path(uri))
-        request.m_path = path;
-    if (auto const* const query = evhttp_uri_get_query(uri))
-        request.m_query = query;
-    auto const* const headers = evhttp_request_get_input_headers(source);
-    for (auto const* header = headers->tqh_first; header != nullptr;
-         header = header->next.tqe_next)
-        request.m_headers.emplace_back(header->key, header->value);
-    auto* const body = evhttp_request_get_input_buffer(source);
-    request.m_body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, request.m_body.data(), request.m_body.size());
-    request.m_remote = remote_address(evhttp_request_get_connection(source));
-    return request;
-}
-
-/// True if the client closed the connection or it was reset.
-auto is_closed_by_client(evhttp_connection* connection) -> bool
-{
-    auto state = pollfd{};
-    state.fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    state.events = POLLRDHUP;
-    return ::poll(&state, 1, 0) > 0;
-}
-
-auto is_freed_by_evhttp(bufferevent* connection) -> bool
-{
-    bufferevent_event_cb event_callback = nullptr;
-    bufferevent_getcb(connection, nullptr, nullptr, &event_callback, nullptr);
-    return event_callback == nullptr;
-}
-
 } // namespace
 
 struct http_server::open_exchange
@@ -135,18 +70,12 @@
     event_handle m_close_event = nullptr;
 };
 
-/// Holds a reference so that the connection stays valid until it has sent a
-/// request. evhttp has no callback for a connection that closes before that.
+/// The account holds a reference so that the stream stays valid until it has
+/// sent a request. evhttp has no callback for a connection that closes before
+/// that.
 struct http_server::pending_connection
 {
-    struct release
-    {
-        auto operator()(bufferevent* handle) const noexcept -> void
-        {
-            bufferevent_decref(handle);
-        }
-    };
-    std::unique_ptr<bufferevent, release> m_connection;
+    std::unique_ptr<connection_account> m_account;
     core::time_point m_deadline{0};
 };
 
@@ -157,14 +86,27 @@
 
 http_server::http_server(event_loop& loop, http_server_settings settings,
                          handler handle)
-    : m_loop{loop}, m_settings{settings}, m_handler{std::move(handle)},
-      m_http{evhttp_new(loop.base())}, m_pending_check{loop, [this]
-                                                       {
-                                                           check_pending();
-                                                       }}
+    : m_loop{loop}, m_settings{std::move(settings)}, m_handler{std::move(
+                                                         handle)},
+      m_http{evhttp_new(loop.base())}, m_check{loop,
+                                               [this]
+                                               {
+                                                   check_connections();
+                                               }},
+      m_enforcement{loop, [this]
+                    {
+                        enforce_bounds();
+                    }}
 {
     if (!m_http)
         throw std::bad_alloc{};
+    if (!m_settings.m_ledger)
+        m_settings.m_ledger = std::make_shared<connection_ledger>();
+    m_close_requested = m_settings.m_ledger->close_requested().connect(
+        [this](connection_closing closing)
+        {
+            close(closing);
+        });
     auto* const http = m_http.get();
     evhttp_set_allowed_methods(http, allowed_methods);
     evhttp_set_default_content_type(http, nullptr);
@@ -172,10 +114,7 @@
                              static_cast<ev_ssize_t>(m_settings.m_body_limit));
     evhttp_set_max_headers_size(
         http, static_cast<ev_ssize_t>(m_settings.m_header_limit));
-    auto const timeout = m_settings.m_read_timeout.count();
-    auto const interval =
-        timeval{static_cast<time_t>(timeout / 1'000'000),
-                static_cast<suseconds_t>(timeout % 1'000'000)};
+    auto const interval = to_timeval(m_settings.m_read_timeout);
     evhttp_set_timeout_tv(http, &interval);
     // Reads an oversized body to its end; otherwise the client might see a
     // connection reset instead of the 413.
@@ -198,6 +137,7 @@
 
 http_server::~http_server()
 {
+    m_close_requested.disconnect();
     for (auto const& [connection, state] : m_connections)
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     m_exchanges.clear();
@@ -212,6 +152,12 @@
     -> leaf::result<std::uint16_t>
 {
     BOOST_LEAF_AUTO(listener, open_listener(m_loop, address));
+    // Accepted connections inherit these options.
+    auto const socket = evconnlistener_get_fd(listener.get());
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &kernel_receive_buffer,
+               sizeof kernel_receive_buffer);
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &kernel_send_buffer,
+               sizeof kernel_send_buffer);
     auto const port = bound_address(listener.get()).port();
     auto* const bound = evhttp_bind_listener(m_http.get(), listener.get());
     if (bound == nullptr)
@@ -220,13 +166,13 @@
     static_cast<void>(listener.release());
     m_listeners.push_back(bound);
     // Accepting fails when the process is out of file descriptors; retrying
-    // immediately would be a busy loop. `check_pending` enables it again.
+    // immediately would be a busy loop. `check_connections` enables it again.
     evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(bound),
                                 [](evconnlistener* failed, void*)
                                 {
                                     evconnlistener_disable(failed);
                                 });
-    m_pending_check.start(pending_check_interval);
+    m_check.start(check_interval);
     return port;
 }
 
@@ -256,9 +202,14 @@
                          http_headers const& headers, std::string_view body)
     -> void
 {
-    auto const found = m_exchanges.find(exchange);
-    if (found == m_exchanges.end())
+    if (!m_exchanges.contains(exchange))
         return;
+    if (!make_room(body.size()))
+    {
+        m_settings.m_ledger->count_closed(close_cause::memory);
+        return abort(exchange);
+    }
+    auto const found = m_exchanges.find(exchange);
     auto* const request = found->second->m_request;
     m_exchanges.erase(found);
     auto* const output = evhttp_request_get_output_headers(request);
@@ -274,9 +225,14 @@
             evhttp_request_get_connection(done));
     };
     evhttp_request_set_on_complete_cb(request, sent, this);
-    m_connections.at(evhttp_request_get_connection(request)).m_is_sending =
-        true;
+    auto& state = m_connections.at(evhttp_request_get_connection(request));
+    state.m_is_sending = true;
     ++m_sending_count;
+    state.m_account->response_started();
+    // Otherwise evhttp would close the connection of a client that reads a
+    // response for longer than the timeout. `check_progress` closes those that
+    // do not read.
+    bufferevent_set_timeouts(state.m_account->stream(), nullptr, nullptr);
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
@@ -330,12 +286,24 @@
     auto* const connection = bufferevent_socket_new(m_loop.base(), -1, 0);
     if (connection == nullptr)
         return nullptr;
-    bufferevent_incref(connection);
     auto pending = pending_connection{};
-    pending.m_connection.reset(connection);
+    pending.m_account = std::make_unique<connection_account>(
+        m_loop, *m_settings.m_ledger, connection,
+        connection_account_settings{m_settings.m_header_limit +
+                                        m_settings.m_body_limit,
+                                    m_settings.m_header_limit},
+        [this]
+        {
+            if (m_settings.m_ledger->bytes() >
+                m_settings.m_ledger->bounds().m_bytes)
+                enforce_bounds_later();
+        });
     pending.m_deadline = m_loop.now() + m_settings.m_read_timeout;
     m_pending.push_back(std::move(pending));
+    ++m_unopened;
     update_listeners();
+    // The socket is set when this returns.
+    enforce_bounds_later();
     return connection;
 }
 
@@ -344,6 +312,7 @@
     auto* const connection = evhttp_request_get_connection(request);
     track(connection);
     auto& state = m_connections.at(connection);
+    state.m_account->request_received();
     if (!state.m_is_served)
     {
         evhttp_add_header(evhttp_request_get_output_headers(request),
@@ -385,14 +354,20 @@
     auto const enabled = 1;
     setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &enabled,
                sizeof enabled);
-    std::erase_if(m_pending,
-                  [&](auto const& pending)
-                  {
-                      return pending.m_connection.get() == stream;
-                  });
-    auto const is_served = m_served_count < m_settings.m_connection_limit;
+    auto const pending = std::ranges::find(m_pending, stream,
+                                           [](auto const& item)
+                                           {
+                                               return item.m_account->stream();
+                                           });
+    auto account = std::move(pending->m_account);
+    m_pending.erase(pending);
+    if (account->id() == 0)
+        account->open();
+    auto const is_served = m_served_count < m_settings.m_connection_limit &&
+                           !m_settings.m_ledger->is_refused(account->id());
     m_served_count += is_served ? 1 : 0;
-    m_connections.emplace(connection, connection_state{is_served});
+    m_connections.emplace(connection,
+                          connection_state{std::move(account), is_served});
     evhttp_connection_set_closecb(
         connection,
         [](evhttp_connection* closed, void* self)
@@ -408,6 +383,15 @@
     if (found == m_connections.end() ||
         !std::exchange(found->second.m_is_sending, false))
         return;
+    auto& account = *found->second.m_account;
+    account.response_sent();
+    auto const timeout = to_timeval(m_settings.m_read_timeout);
+    bufferevent_set_timeouts(account.stream(), &timeout, &timeout);
+    count_sent();
+}
+
+auto http_server::count_sent() -> void
+{
     --m_sending_count;
     if (is_idle())
         m_became_idle.emit();
@@ -418,19 +402,22 @@
     auto const found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
-    answer_sent(connection);
-    auto const state = found->second;
+    if (std::exchange(found->second.m_is_sending, false))
+        count_sent();
+    auto const exchange = found->second.m_exchange;
+    m_served_count -= found->second.m_is_served ? 1 : 0;
     m_connections.erase(found);
-    m_served_count -= state.m_is_served ? 1 : 0;
     update_listeners();
-    if (m_exchanges.erase(state.m_exchange) > 0)
-        m_exchange_abandoned.emit(state.m_exchange);
+    if (m_exchanges.erase(exchange) > 0)
+        m_exchange_abandoned.emit(exchange);
 }
 
 auto http_server::check_client(open_exchange& exchange) -> void
 {
-    if (is_closed_by_client(evhttp_request_get_connection(exchange.m_request)))
+    auto* const connection = evhttp_request_get_connection(exchange.m_request);
+    if (is_closed_by_client(connection))
         return client_closed(exchange.m_id);
+    m_connections.at(connection).m_account->measure_kernel();
     // A pipelined request keeps the socket readable and would trigger the event
     // in every loop iteration, so a timer replaces the event.
     exchange.m_close_event.reset(event_new(
@@ -452,31 +439,116 @@
     m_exchange_abandoned.emit(exchange);
 }
 
+auto http_server::check_connections() -> void
+{
+    check_pending();
+    check_progress();
+    m_check.start(check_interval);
+    update_listeners();
+}
+
 auto http_server::check_pending() -> void
 {
     auto const now = m_loop.now();
     std::erase_if(m_pending,
                   [](auto const& pending)
                   {
-                      return is_freed_by_evhttp(pending.m_connection.get());
+                      return is_freed_by_evhttp(pending.m_account->stream());
                   });
     // Makes evhttp close connections whose first request is not complete in
     // time.
     for (auto const& pending : m_pending)
     {
-        if (pending.m_deadline <= now)
-            bufferevent_trigger_event(pending.m_connection.get(),
-                                      BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
-                                      BEV_TRIG_DEFER_CALLBACKS);
+        if (pending.m_deadline > now)
+            continue;
+        if (pending.m_account->request_began_at())
+            m_settings.m_ledger->count_closed(close_cause::slow_request);
+        trigger_timeout(pending.m_account->stream());
+    }
+}
+
+auto http_server::check_progress() -> void
+{
+    auto const expired = m_loop.now() - m_settings.m_read_timeout;
+    auto closings = std::vector<std::pair<evhttp_connection*, close_cause>>{};
+    for (auto const& [connection, state] : m_connections)
+    {
+        auto& account = *state.m_account;
+        if (state.m_is_sending)
+        {
+            account.measure_kernel();
+            if (account.progress_at() < expired)
+                closings.emplace_back(connection, close_cause::unread_response);
+        }
+        else if (auto const began_at = account.request_began_at();
+                 began_at && *began_at < expired)
+            closings.emplace_back(connection, close_cause::slow_request);
+    }
+    for (auto const& [connection, cause] : closings)
+    {
+        m_settings.m_ledger->count_closed(cause);
+        evhttp_connection_free(connection);
+    }
+}
+
+auto http_server::enforce_bounds() -> void
+{
+    m_is_enforcement_due = false;
+    m_unopened = 0;
+    for (auto const& pending : m_pending)
+    {
+        if (pending.m_account->id() == 0)
+            pending.m_account->open();
     }
-    m_pending_check.start(pending_check_interval);
+    auto& ledger = *m_settings.m_ledger;
+    while (auto const closing = ledger.take_closing(m_loop.now()))
+        ledger.close_requested().emit(*closing);
     update_listeners();
 }
 
+auto http_server::enforce_bounds_later() -> void
+{
+    if (!std::exchange(m_is_enforcement_due, true))
+        m_enforcement.start(core::duration{0});
+}
+
+auto http_server::make_room(std::size_t bytes) -> bool
+{
+    auto& ledger = *m_settings.m_ledger;
+    while (auto const closing = ledger.take_closing_for(bytes, m_loop.now()))
+        ledger.close_requested().emit(*closing);
+    return ledger.bytes() + bytes <= ledger.bounds().m_bytes;
+}
+
+auto http_server::close(connection_closing closing) -> void
+{
+    auto const has_id = [&](auto const& account)
+    {
+        return account->id() == closing.m_connection;
+    };
+    auto const pending =
+        std::ranges::find_if(m_pending, has_id, &pending_connection::m_account);
+    if (pending != m_pending.end())
+        return trigger_timeout(pending->m_account->stream());
+    auto const found =
+        std::ranges::find_if(m_connections,
+                             [&](auto const& item)
+                             {
+                                 return has_id(item.second.m_account);
+                             });
+    if (found != m_connections.end())
+        evhttp_connection_free(found->first);
+}
+
 auto http_server::update_listeners() -> void
 {
+    auto const& ledger = *m_settings.m_ledger;
     auto const is_full = connections() >= m_settings.m_connection_limit +
-                                              max_refused_connections;
+                                              max_refused_connections ||
+                         ledger.connections() + m_unopened >=
+                             ledger.bounds().m_connections +
+                                 ledger.bounds().m_refused_connections +
+                                 max_accepted_over_bounds;
     for (auto* const listener : m_listeners)
     {
         auto* const socket = evhttp_bound_socket_get_listener(listener);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -2,6 +2,8 @@
 #define HICKORYLATCH_NET_HTTP_SERVER_HPP
 
 #include "core/model/event.hpp"
+#include "net/connection_account.hpp"
+#include "net/connection_ledger.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_message.hpp"
 #include "net/timer.hpp"
@@ -32,11 +34,15 @@
     std::size_t m_body_limit = std::size_t{8} << 20U;
     /// Largest request line and headers together, in bytes.
     std::size_t m_header_limit = std::size_t{16} << 10U;
-    /// Limit from accepting a connection to its first complete request; also
-    /// the read timeout within later requests and between requests.
+    /// Limit from accepting a connection to its first complete request, from
+    /// the first byte of a later request to its end, between requests, and
+    /// without progress while a client reads a response.
     core::duration m_read_timeout = std::chrono::seconds{10};
     /// Connections beyond this number are answered 503 and closed.
     std::size_t m_connection_limit = 1024;
+    /// Bounds on the connections of all servers that share it; by default the
+    /// server has its own.
+    std::shared_ptr<connection_ledger> m_ledger;
 };
 
 struct evhttp_deleter
@@ -100,6 +106,7 @@
     struct pending_connection;
     struct connection_state
     {
+        std::unique_ptr<connection_account> m_account;
         /// Accepted within `m_connection_limit`, so not refused.
         bool m_is_served = false;
         /// An answer was not passed to the kernel completely yet.
@@ -112,11 +119,23 @@
     auto handle_request(evhttp_request* request) -> void;
     auto track(evhttp_connection* connection) -> void;
     auto answer_sent(evhttp_connection* connection) -> void;
+    auto count_sent() -> void;
     auto connection_closed(evhttp_connection* connection) -> void;
     /// Handles an event on the connection of an open exchange.
     auto check_client(open_exchange& exchange) -> void;
     auto client_closed(core::exchange_id exchange) -> void;
+    auto check_connections() -> void;
     auto check_pending() -> void;
+    /// Closes connections that do not make progress in time.
+    auto check_progress() -> void;
+    /// Enters accepted connections in the ledger and closes connections as
+    /// long as a bound is exceeded.
+    auto enforce_bounds() -> void;
+    auto enforce_bounds_later() -> void;
+    /// Makes room for a response. False if there is not enough.
+    auto make_room(std::size_t bytes) -> bool;
+    /// Closes a connection that the ledger chose, if it is one of this server.
+    auto close(connection_closing closing) -> void;
     auto update_listeners() -> void;
 
     event_loop& m_loop;
@@ -133,7 +152,12 @@
     std::unordered_map<evhttp_connection*, connection_state> m_connections;
     std::size_t m_served_count = 0;
     std::size_t m_sending_count = 0;
-    timer m_pending_check;
+    timer m_check;
+    timer m_enforcement;
+    bool m_is_enforcement_due = false;
+    /// Accepted connections that are not in the ledger yet.
+    std::size_t m_unopened = 0;
+    sigc::connection m_close_requested;
     sigc::signal<void()> m_became_idle;
     sigc::signal<void(core::exchange_id)> m_exchange_abandoned;
 };
