Bound the unsent bytes of all peer links together

Each link may hold 256 MiB for a peer that does not read, so that several such peers exceed the memory of the process. With more unsent bytes in total than m_total_output_limit (1 GiB by default) the link with the most is closed. The total is counted only when a link holds more than a quarter of its share, so that small messages cost no more than before; the total may therefore exceed the limit by a quarter.

links_over_their_common_limit_lose_the_largest covers it.

--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -216,7 +216,24 @@
     link.send_frame(body);
     m_links.at(found->second)->m_last_sent_at = m_loop.now();
     if (link.unsent() > m_settings.m_output_limit)
-        fail(found->second, "unsent bytes over the limit");
+        return fail(found->second, "unsent bytes over the limit");
+    // Counting all links for each message would cost too much. Links below this
+    // share hold less than a quarter of the total together.
+    if (link.unsent() > m_settings.m_total_output_limit / 4 / m_links.size())
+        check_total_unsent();
+}
+
+auto peer_links::check_total_unsent() -> void
+{
+    if (unsent() <= m_settings.m_total_output_limit)
+        return;
+    auto const largest =
+        std::ranges::max_element(m_links, {},
+                                 [](auto const& item)
+                                 {
+                                     return item.second->m_link->unsent();
+                                 });
+    fail(largest->first, "unsent bytes of all links over the limit");
 }
 
 auto peer_links::set_cluster(std::uint64_t cluster) -> void
--- a/src/net/peer_links.hpp
+++ b/src/net/peer_links.hpp
@@ -44,6 +44,9 @@
     std::size_t m_frame_limit = std::size_t{64} << 20U;
     /// A link with more unsent bytes is closed.
     std::size_t m_output_limit = std::size_t{256} << 20U;
+    /// With more unsent bytes of all links together, the link with the most is
+    /// closed.
+    std::size_t m_total_output_limit = std::size_t{1} << 30U;
     /// Limit from opening a connection to receiving the peer's hello.
     core::duration m_hello_timeout = std::chrono::seconds{5};
     /// Delay before reconnecting; doubles after each failure.
@@ -104,6 +107,9 @@
 
     /// Writes an encoded message to the link of a node, if there is one.
     auto write(core::node_id to, std::string_view body) -> void;
+    /// Closes the link with the most unsent bytes if all links together have
+    /// too many.
+    auto check_total_unsent() -> void;
     auto accept(int socket, socket_address const& remote) -> void;
     auto dial(std::string const& address) -> void;
     auto add_link(int socket, std::string remote, bool is_outgoing)
--- a/tests/net/test_peer_links.cpp
+++ b/tests/net/test_peer_links.cpp
@@ -370,6 +370,35 @@
     BOOST_TEST(server.m_causes.size() == 2U);
 }
 
+// Guards against links that together exceed the memory of the process although
+// each is within its limit.
+BOOST_AUTO_TEST_CASE(links_over_their_common_limit_lose_the_largest)
+{
+    auto loop = net::event_loop{};
+    auto node_settings = make_settings(1);
+    node_settings.m_output_limit = 4'000;
+    node_settings.m_total_output_limit = 5'000;
+    auto server = node{loop, node_settings};
+    auto first = raw_socket{server.m_links.port()};
+    first.send(frame(make_settings(2).m_hello));
+    auto second = raw_socket{server.m_links.port()};
+    second.send(frame(make_settings(3).m_hello));
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             return server.m_connected.size() == 2U;
+                         }));
+    auto const large =
+        core::install_snapshot{.m_data = std::string(3'500, 'x')};
+    auto const small =
+        core::install_snapshot{.m_data = std::string(2'000, 'x')};
+    server.m_links.send(core::node_id{2}, large);
+    BOOST_TEST(server.m_disconnected.empty());
+    server.m_links.send(core::node_id{3}, small);
+    BOOST_TEST(server.m_disconnected.size() == 1U);
+    BOOST_TEST((server.m_disconnected.front() == core::node_id{2}));
+}
+
 // Guards against an unclear error message when a port is in use.
 BOOST_AUTO_TEST_CASE(listen_error_contains_the_address)
 {
