Drop the input of closed connections at once

A connection that has not sent a complete request is closed by evhttp in a later iteration, and its stream is referenced until the next check, 250 ms later.

Requests in process can no longer lock out another address: one of them makes room if nothing else can and its address has more than 64 connections, the most an honest client has. Responses up to 16 KiB are sent without making room, so that a job's response is not dropped while many jobs are in process.

--- a/src/net/connection_ledger.cpp
+++ b/src/net/connection_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace hickorylatch::net
@@ -177,29 +179,30 @@
 
 auto connection_ledger::evict_for(std::string const& address) -> bool
 {
-    auto const top = std::ranges::max_element(m_served, {},
-                                              [](auto const& item)
-                                              {
-                                                  return item.second;
-                                              });
     auto const own = m_served.find(address);
     auto const own_count = own == m_served.end() ? 0 : own->second;
-    if (top == m_served.end() || top->second <= own_count + 1)
-        return false;
-    auto const* oldest = static_cast<entries::value_type const*>(nullptr);
-    for (auto const& item : m_entries)
+    auto chosen = std::optional<std::uint64_t>{};
+    auto best = std::tuple{true, std::size_t{0}, core::time_point{0}};
+    for (auto const& [id, candidate] : m_entries)
     {
-        auto const& candidate = item.second;
-        if (candidate.m_is_refused || candidate.m_is_processing ||
-            candidate.m_address != top->first)
+        if (candidate.m_is_refused)
+            continue;
+        auto const count = m_served.at(candidate.m_address);
+        if (count <= own_count + 1 ||
+            (candidate.m_is_processing && count <= m_bounds.m_address_share))
             continue;
-        if (oldest == nullptr ||
-            candidate.m_progress_at < oldest->second.m_progress_at)
-            oldest = &item;
+        auto const rank =
+            std::tuple{candidate.m_is_processing,
+                       std::numeric_limits<std::size_t>::max() - count,
+                       candidate.m_progress_at};
+        if (chosen && rank >= best)
+            continue;
+        best = rank;
+        chosen = id;
     }
-    if (oldest == nullptr)
+    if (!chosen)
         return false;
-    m_evicted.push_back(take({oldest->first, close_cause::connections}));
+    m_evicted.push_back(take({*chosen, close_cause::connections}));
     return true;
 }
 
--- a/src/net/connection_ledger.hpp
+++ b/src/net/connection_ledger.hpp
@@ -28,6 +28,9 @@
     std::size_t m_connections = 4'096;
     /// Connections over `m_connections` that stay open to get a 503.
     std::size_t m_refused_connections = 64;
+    /// Connections with a request in process make room for another address only
+    /// if their own address has more connections than this.
+    std::size_t m_address_share = 64;
 };
 
 /// Why a connection is closed although its client did not end it.
@@ -59,9 +62,8 @@
     explicit connection_ledger(connection_bounds bounds = {});
 
     /// Adds a connection from an IP address and returns its id. At the bound, a
-    /// connection of the address with the most connections makes room if that
-    /// address has more than the new one would have; otherwise the new
-    /// connection is refused.
+    /// connection of an address that has more connections than the new one's
+    /// makes room; otherwise the new connection is refused.
     auto add(std::string_view address, core::time_point now) -> std::uint64_t;
     /// Removes a connection. Does nothing if it is not known.
     auto remove(std::uint64_t connection) -> void;
@@ -107,8 +109,10 @@
     };
     using entries = std::unordered_map<std::uint64_t, entry>;
 
-    /// Schedules the closing of a connection of the address with the most
-    /// connections; false if there is none that may be closed for `address`.
+    /// Schedules the closing of a connection of an address with more
+    /// connections than `address` would have; false if there is none.
+    /// Connections without a request in process come first, then those of the
+    /// address with the most, then those without progress for the longest time.
     auto evict_for(std::string const& address) -> bool;
     [[nodiscard]] auto largest(core::time_point now,
                                bool may_be_processing) const
--- a/src/net/evhttp_connection.cpp
+++ b/src/net/evhttp_connection.cpp
@@ -99,6 +99,11 @@
 
 auto trigger_timeout(bufferevent* connection) -> void
 {
+    // The stream may be kept by a reference for some time, but not its input.
+    // Without reading, no request can complete from what arrives later.
+    bufferevent_disable(connection, EV_READ);
+    auto* const input = bufferevent_get_input(connection);
+    evbuffer_drain(input, evbuffer_get_length(input));
     bufferevent_trigger_event(connection, BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
                               BEV_TRIG_DEFER_CALLBACKS);
 }
--- a/src/net/evhttp_connection.hpp
+++ b/src/net/evhttp_connection.hpp
@@ -24,7 +24,7 @@
 [[nodiscard]] auto is_freed_by_evhttp(bufferevent* connection) -> bool;
 
 /// Makes evhttp close a connection that has not sent a complete request, in a
-/// later loop iteration.
+/// later loop iteration. Drops its input at once.
 auto trigger_timeout(bufferevent* connection) -> void;
 
 } // namespace hickorylatch::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,6 +42,10 @@
 
 constexpr auto check_interval = core::duration{std::chrono::milliseconds{250}};
 
+// Responses up to this size are sent without making room for them first, so
+// that those to jobs are not dropped while many jobs are in process.
+constexpr auto small_response = std::size_t{16} << 10U;
+
 // Interval at which a client that pipelines requests is checked for a closed
 // connection.
 constexpr auto pipelined_check_interval = timeval{0, 50'000};
@@ -204,7 +208,7 @@
 {
     if (!m_exchanges.contains(exchange))
         return;
-    if (!make_room(body.size()))
+    if (body.size() > small_response && !make_room(body.size()))
     {
         m_settings.m_ledger->count_closed(close_cause::memory);
         return abort(exchange);
--- a/src/platform/clients_api.cpp
+++ b/src/platform/clients_api.cpp
@@ -22,7 +22,6 @@
 // Timeout of idle connections. Longer than the clients' own idle timeout of
 // 15 s, so that the clients close first.
 constexpr auto idle_timeout = std::chrono::seconds{20};
-constexpr auto connection_limit = std::size_t{2'000};
 
 auto read_client_wait_ms(net::http_headers const& headers) -> std::uint32_t
 {
@@ -83,9 +82,8 @@
     -> leaf::result<std::unique_ptr<clients_api>>
 {
     auto api = std::unique_ptr<clients_api>{new clients_api{target}};
-    auto limits = net::http_server_settings{};
+    auto limits = target.server_settings();
     limits.m_read_timeout = idle_timeout;
-    limits.m_connection_limit = connection_limit;
     auto clients_server = std::make_unique<net::http_server>(
         target.loop(), limits,
         [self = api.get()](net::http_request const& request)
--- a/src/platform/operators_api.cpp
+++ b/src/platform/operators_api.cpp
@@ -33,7 +33,7 @@
 {
     auto api = std::unique_ptr<operators_api>{new operators_api{target}};
     auto server = std::make_unique<net::http_server>(
-        target.loop(), net::http_server_settings{},
+        target.loop(), target.server_settings(),
         [self = api.get()](net::http_request const& request)
         {
             self->handle(request);
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -41,6 +41,21 @@
 // which may be later than the end.
 constexpr auto job_retention_factor = 2U;
 
+// Descriptors of `maxFds` that are not for use. Half of the rest is for links,
+// files, and connections that were refused or are being closed; the other half
+// is as many as entries served before the limit was derived.
+constexpr auto reserved_descriptors = std::uint32_t{200};
+constexpr auto min_client_connections = std::uint32_t{16};
+
+// A process without load takes 11 to 15 MB, of 128 to 384. A client with 64
+// connections and the largest requests holds 18 MB. A quarter for clients let a
+// process of 64 MB grow to 51 MB, because freed buffers are not returned at
+// once.
+constexpr auto client_memory_divisor = 6;
+constexpr auto links_memory_divisor = 4;
+constexpr auto link_memory_divisor = 8;
+constexpr auto min_client_memory_bytes = std::uint32_t{1} << 23U;
+
 auto fail(std::string text) -> boost::leaf::error_id
 {
     return boost::leaf::new_error(settings_error{std::move(text)});
@@ -96,6 +111,35 @@
     return placement;
 }
 
+/// Derives the limits on connections and links. Those of an unknown quantity
+/// keep their defaults.
+auto set_limits(host_settings const& host, settings::settings& out) -> void
+{
+    if (host.m_memory_mb != 0)
+    {
+        auto const memory = std::uint64_t{host.m_memory_mb} * 1'000'000;
+        out.m_client_memory_bytes =
+            static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+                memory / client_memory_divisor, min_client_memory_bytes,
+                out.m_client_memory_bytes));
+        out.m_link_unsent_bytes =
+            static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+                memory / link_memory_divisor, out.m_frame_limit_bytes,
+                out.m_link_unsent_bytes));
+        out.m_links_unsent_bytes =
+            static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+                memory / links_memory_divisor, out.m_link_unsent_bytes,
+                out.m_links_unsent_bytes));
+    }
+    if (host.m_descriptors > reserved_descriptors)
+    {
+        auto const usable = host.m_descriptors - reserved_descriptors;
+        // A connection over the limit may stay open until its 503 is sent.
+        out.m_client_connection_limit = std::clamp(
+            usable / 2, min_client_connections, out.m_client_connection_limit);
+    }
+}
+
 } // namespace
 
 auto parse_host_settings(std::string_view text)
@@ -133,6 +177,8 @@
         auto const limits = read_table(file, "limits");
         out.m_memory_mb =
             static_cast<std::uint32_t>(read_number(limits, "memoryMb", 0));
+        out.m_descriptors =
+            static_cast<std::uint32_t>(read_number(limits, "maxFds", 0));
         out.m_processor_share = read_number(limits, "cpuShare", 1.0) *
                                 read_number(limits, "cores", 1.0);
         if (out.m_name.empty() || out.m_advertised_ip.empty())
@@ -160,6 +206,7 @@
     out.m_name = host.m_name;
     out.m_failure_domain = host.m_failure_domain;
     out.m_control_addresses = seed_link_addresses(host);
+    set_limits(host, out);
     if (host.m_listen_ip != host.m_advertised_ip)
         out.m_source_ip = host.m_listen_ip;
     if (target_duty == duty::entry)
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -61,7 +61,9 @@
     /// Factor on the run time of a task outside the rack with its data
     /// ("spreadFactor").
     double m_spread_factor = 1.0;
+    /// Memory and descriptors of this process; 0 if they are not known.
     std::uint32_t m_memory_mb = 0;
+    std::uint32_t m_descriptors = 0;
     /// Processor capacity in standard cores: "cpuShare" of a core that is
     /// "cores" times as fast as a standard one.
     double m_processor_share = 1.0;
--- a/src/platform/worker_api.cpp
+++ b/src/platform/worker_api.cpp
@@ -114,7 +114,7 @@
     BOOST_LEAF_AUTO(worker, net::socket_address::parse(worker_address));
     auto api = std::unique_ptr<worker_api>{new worker_api{target, worker}};
     auto server = std::make_unique<net::http_server>(
-        target.loop(), net::http_server_settings{},
+        target.loop(), target.server_settings(),
         [self = api.get()](net::http_request const& request)
         {
             self->handle(request);
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -59,6 +59,9 @@
 constexpr auto first_election_maximum =
     core::duration{std::chrono::milliseconds{200}};
 
+// Connections over the limit that may be open while they wait for their 503.
+constexpr auto max_refused_connections = std::uint32_t{64};
+
 auto random_number() -> std::uint64_t
 {
     auto device = std::random_device{};
@@ -133,6 +136,11 @@
 
 process::process(settings::settings options, observe::logger log)
     : m_settings{std::move(options)}, m_log{std::move(log)}, m_signals{m_loop},
+      m_ledger{std::make_shared<net::connection_ledger>(net::connection_bounds{
+          m_settings.m_client_memory_bytes,
+          m_settings.m_client_connection_limit,
+          std::min(max_refused_connections,
+                   m_settings.m_client_connection_limit / 8U)})},
       m_timer{m_loop,
               [this]
               {
@@ -295,6 +303,8 @@
     auto options = net::peer_links_settings{};
     options.m_hello = core::make_hello(m_node);
     options.m_frame_limit = m_settings.m_frame_limit_bytes;
+    options.m_output_limit = m_settings.m_link_unsent_bytes;
+    options.m_total_output_limit = m_settings.m_links_unsent_bytes;
     options.m_hello_timeout = hello_timeout;
     options.m_backoff_max = reconnect_backoff_max;
     options.m_control_liveness = control_liveness;
@@ -319,7 +329,7 @@
 
 auto process::open_servers() -> boost::leaf::result<void>
 {
-    auto operators = net::http_server_settings{};
+    auto const operators = server_settings();
     auto const operators_address =
         m_settings.m_entry      ? m_settings.m_entry->m_operators_address
         : m_settings.m_control  ? m_settings.m_control->m_operators_address
@@ -331,7 +341,7 @@
     if (!m_settings.m_entry)
         return {};
     auto const& entry = *m_settings.m_entry;
-    auto callers = net::http_server_settings{};
+    auto callers = server_settings();
     callers.m_body_limit = entry.m_body_limit_bytes;
     callers.m_connection_limit = entry.m_connection_limit;
     callers.m_read_timeout =
@@ -501,6 +511,7 @@
                            static_cast<double>(lease->config().m_version)});
     }
     count_messages();
+    report_connections();
     if (m_durable_log)
         log_disk_space_change();
     if (m_spans)
@@ -508,6 +519,36 @@
     m_clock_timer.start(clock_interval);
 }
 
+auto process::report_connections() -> void
+{
+    m_metrics.observe({"hickorylatch_client_bytes",
+                       {},
+                       static_cast<double>(m_ledger->bytes())});
+    m_metrics.observe({"hickorylatch_client_connections",
+                       {},
+                       static_cast<double>(m_ledger->connections())});
+    for (auto index = std::size_t{0}; index < m_reported_closings.size();
+         ++index)
+    {
+        auto const cause = static_cast<net::close_cause>(index);
+        auto const total = m_ledger->closed(cause);
+        auto const count =
+            total - std::exchange(m_reported_closings[index], total);
+        if (count == 0)
+            continue;
+        auto const name = std::string{net::to_string(cause)};
+        m_metrics.observe({"hickorylatch_client_closings_total",
+                           {{"cause", name}},
+                           static_cast<double>(count)});
+        m_log.write({core::log_level::warning,
+                     "client_connections_closed",
+                     {{"cause", name},
+                      {"count", std::to_string(count)},
+                      {"open", std::to_string(m_ledger->connections())},
+                      {"bytes", std::to_string(m_ledger->bytes())}}});
+    }
+}
+
 auto process::count_messages() -> void
 {
     for (auto type = std::size_t{0}; type < m_sent_messages.size(); ++type)
@@ -732,6 +773,14 @@
     m_metrics.observe(sample);
 }
 
+auto process::server_settings() const -> net::http_server_settings
+{
+    auto out = net::http_server_settings{};
+    out.m_connection_limit = m_settings.m_client_connection_limit;
+    out.m_ledger = m_ledger;
+    return out;
+}
+
 auto process::add_server(std::unique_ptr<net::http_server> server)
     -> net::http_server&
 {
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -61,6 +61,8 @@
     [[nodiscard]] auto node() const -> core::node const&;
     auto log(core::log_line const& line) -> void;
     auto observe(core::observe_metric const& sample) -> void;
+    /// Settings of a further HTTP server, within the bounds on all of them.
+    [[nodiscard]] auto server_settings() const -> net::http_server_settings;
     /// Adds a server whose answers must be written before the process exits.
     auto add_server(std::unique_ptr<net::http_server> server)
         -> net::http_server&;
@@ -166,6 +168,9 @@
     /// Passes the wall clock to the reducer, updates periodic metrics and
     /// flushes spans.
     auto handle_clock_tick() -> void;
+    /// Updates the metrics of HTTP connections and logs which were closed
+    /// because of a limit since the last call.
+    auto report_connections() -> void;
     /// Adds the messages sent since the last call to the metrics.
     auto count_messages() -> void;
     /// Logs when the disk becomes full and when it has space again.
@@ -185,6 +190,10 @@
     /// Null unless this is a control replica with a disk.
     std::unique_ptr<durable_log> m_durable_log;
     std::unique_ptr<agent_calls> m_agent_calls;
+    std::shared_ptr<net::connection_ledger> m_ledger;
+    /// Closings that were reported, by cause.
+    std::array<std::uint64_t, static_cast<std::size_t>(net::close_cause::count)>
+        m_reported_closings{};
     std::vector<std::unique_ptr<net::http_server>> m_servers;
     net::timer m_timer;
     /// Time of the last event.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -21,6 +21,9 @@
 // and one agent for each task of the largest job.
 constexpr auto frame_overhead_bytes = std::uint32_t{65'536};
 
+// Space for the headers of two requests.
+constexpr auto request_overhead_bytes = std::uint32_t{32'768};
+
 /// Reads the fields of one section according to the table of settings fields.
 /// Clears `all_loopback` if an address is not a loopback address.
 class section_reader
@@ -242,6 +245,10 @@
     in.read("secret", out.m_secret);
     in.read("secret_file", out.m_secret_file);
     in.read("frame_limit_bytes", out.m_frame_limit_bytes);
+    in.read("client_connection_limit", out.m_client_connection_limit);
+    in.read("client_memory_bytes", out.m_client_memory_bytes);
+    in.read("link_unsent_bytes", out.m_link_unsent_bytes);
+    in.read("links_unsent_bytes", out.m_links_unsent_bytes);
     in.read("trace_file", out.m_trace_file);
     if (auto log = in.section("log"))
         out.m_log = read_log(std::move(*log));
@@ -257,6 +264,22 @@
     return out;
 }
 
+auto check_memory_limits(object_reader& root, settings const& parsed) -> void
+{
+    auto const body_limit =
+        parsed.m_entry ? std::uint64_t{parsed.m_entry->m_body_limit_bytes} : 0;
+    auto const lowest = body_limit * 2 + request_overhead_bytes;
+    if (parsed.m_client_memory_bytes < lowest)
+        root.fail("client_memory_bytes",
+                  "expected at least " + std::to_string(lowest) +
+                      ", which is twice entry.body_limit_bytes and " +
+                      std::to_string(request_overhead_bytes));
+    if (parsed.m_link_unsent_bytes < parsed.m_frame_limit_bytes)
+        root.fail("link_unsent_bytes", "expected at least frame_limit_bytes");
+    if (parsed.m_links_unsent_bytes < parsed.m_link_unsent_bytes)
+        root.fail("links_unsent_bytes", "expected at least link_unsent_bytes");
+}
+
 auto check_field_combinations(object_reader& root, settings const& parsed,
                               bool all_loopback) -> void
 {
@@ -265,6 +288,7 @@
     if (!root.has("entry") && !root.has("control") && !root.has("agent"))
         root.fail({}, "expected at least one of the roles entry, control and "
                       "agent");
+    check_memory_limits(root, parsed);
     if (!parsed.m_secret.empty() && !parsed.m_secret_file.empty())
         root.fail("secret_file", "not allowed together with secret");
     if (parsed.m_secret.empty() && parsed.m_secret_file.empty() &&
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -176,6 +176,18 @@
     std::string m_secret_file;
     /// Maximum size of a frame between processes, in bytes. Default: 8 MiB.
     std::uint32_t m_frame_limit_bytes = 8'388'608;
+    /// Maximum number of served HTTP connections, for all addresses of the
+    /// process together. Default: 4096.
+    std::uint32_t m_client_connection_limit = 4'096;
+    /// Maximum number of bytes held for all HTTP connections together. Default:
+    /// 256 MiB. At least twice the size of a callers' request.
+    std::uint32_t m_client_memory_bytes = 268'435'456;
+    /// Maximum number of unsent bytes of one link to another process. Default:
+    /// 256 MiB. At least the frame limit.
+    std::uint32_t m_link_unsent_bytes = 268'435'456;
+    /// Maximum number of unsent bytes of all links together. Default: 1 GiB. At
+    /// least `m_link_unsent_bytes`.
+    std::uint32_t m_links_unsent_bytes = 1'073'741'824;
     /// Log level and file.
     log_settings m_log;
     /// File that spans are appended to. Default: empty, no spans.
--- a/tests/net/test_connection_ledger.cpp
+++ b/tests/net/test_connection_ledger.cpp
@@ -125,6 +125,32 @@
     BOOST_TEST(ledger.connections() == 4U);
 }
 
+// Guards against an address that locks out others with requests in process, and
+// against cutting one while another connection can be closed.
+BOOST_AUTO_TEST_CASE(requests_in_process_make_room_last)
+{
+    auto ledger =
+        net::connection_ledger{{.m_connections = 5, .m_address_share = 2}};
+    auto const busy = ledger.add("a", start);
+    ledger.set_processing(busy, true);
+    for (auto more = 0; more < 2; ++more)
+        ledger.set_processing(ledger.add("a", start + 1s), true);
+    auto const idle = ledger.add("b", start + 2s);
+    ledger.set_processing(ledger.add("b", start + 2s), true);
+    auto const first = ledger.add("c", start + 3s);
+    BOOST_TEST(!ledger.is_refused(first));
+    ledger.set_processing(first, true);
+    BOOST_TEST(take_all(ledger, start + 3s) == std::vector{idle},
+               boost::test_tools::per_element());
+    auto const second = ledger.add("c", start + 3s);
+    BOOST_TEST(!ledger.is_refused(second));
+    ledger.set_processing(second, true);
+    BOOST_TEST(take_all(ledger, start + 3s) == std::vector{busy},
+               boost::test_tools::per_element());
+    // No address has more than its share now.
+    BOOST_TEST(ledger.is_refused(ledger.add("d", start + 3s)));
+}
+
 // Guards against an address that takes more by connecting again, and against
 // eviction among addresses that have equally many.
 BOOST_AUTO_TEST_CASE(an_address_with_its_share_is_refused)
--- a/tests/net/test_http_limits.cpp
+++ b/tests/net/test_http_limits.cpp
@@ -147,6 +147,35 @@
     BOOST_TEST(sent < pipelined / 4);
 }
 
+// Guards against reading that was stopped and is not resumed, so that pipelined
+// requests, the last one with the largest body, are never handled.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_all_handled)
+{
+    constexpr auto count = std::size_t{4'000};
+    constexpr auto body_limit = std::size_t{262'144};
+    auto loop = net::event_loop{};
+    auto tested = answering_server{loop, 1'000, {.m_body_limit = body_limit}};
+    auto client = slow_client{tested.m_port};
+    auto requests = std::string{};
+    for (auto index = std::size_t{0}; index < count; ++index)
+        requests += request_text;
+    requests += "POST / HTTP/1.1\r\nX-Long: " + std::string(16'000, 'x') +
+                "\r\nContent-Length: " + std::to_string(body_limit) +
+                "\r\n\r\n" + std::string(body_limit, 'x');
+    auto rest = std::string_view{requests};
+    BOOST_TEST(run_until(loop,
+                         [&]
+                         {
+                             rest.remove_prefix(client.send(rest));
+                             // Responses stay unread at first.
+                             if (rest.empty() || tested.m_requests > 100)
+                                 while (client.read(65'536) > 0)
+                                     ;
+                             return tested.m_requests == count + 1;
+                         }));
+    BOOST_TEST(tested.m_requests == count + 1);
+}
+
 // Guards against cutting a client that reads its response slowly.
 BOOST_AUTO_TEST_CASE(slow_reader_gets_the_whole_response)
 {
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -97,6 +97,35 @@
     BOOST_TEST(agent.m_value->m_executor->m_lease_ms == 1000U);
 }
 
+// Guards against limits that honest clients meet on the smallest machine, and
+// against limits that its memory or descriptors do not allow.
+BOOST_AUTO_TEST_CASE(client_limits_follow_memory_and_descriptors)
+{
+    auto host = *parse_settings(example_text).m_value;
+    auto const defaults = *convert(host, platform::duty::entry).m_value;
+    BOOST_TEST(defaults.m_client_memory_bytes == 268'435'456U);
+    BOOST_TEST(defaults.m_client_connection_limit == 4'096U);
+    auto text = example_text;
+    text.replace(text.find("cores = 1"), 9,
+                 "cores = 1\nmemoryMb = 128\nmaxFds = 4096");
+    host = *parse_settings(text).m_value;
+    BOOST_TEST(host.m_memory_mb == 128U);
+    BOOST_TEST(host.m_descriptors == 4'096U);
+    auto const small = *convert(host, platform::duty::agent).m_value;
+    // 64 connections with the largest headers and bodies.
+    BOOST_TEST(small.m_client_memory_bytes > 64U * (16'384U + 262'144U));
+    BOOST_TEST(small.m_client_memory_bytes == 21'333'333U);
+    BOOST_TEST(small.m_client_connection_limit == 1'948U);
+    BOOST_TEST(small.m_link_unsent_bytes == 16'000'000U);
+    BOOST_TEST(small.m_links_unsent_bytes == 32'000'000U);
+    host.m_memory_mb = 64;
+    host.m_descriptors = 400;
+    auto const smallest = *convert(host, platform::duty::entry).m_value;
+    BOOST_TEST(smallest.m_client_memory_bytes == 10'666'666U);
+    BOOST_TEST(smallest.m_client_connection_limit == 100U);
+    BOOST_TEST(smallest.m_link_unsent_bytes == 8'388'608U);
+}
+
 // Guards against a replica that votes although its state is lost when its
 // process exits.
 BOOST_AUTO_TEST_CASE(a_control_process_without_a_disk_is_volatile)
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -66,6 +66,10 @@
         BOOST_TEST(default_at(path) == std::to_string(value), path);
     };
     check("frame_limit_bytes", read.m_frame_limit_bytes);
+    check("client_connection_limit", read.m_client_connection_limit);
+    check("client_memory_bytes", read.m_client_memory_bytes);
+    check("link_unsent_bytes", read.m_link_unsent_bytes);
+    check("links_unsent_bytes", read.m_links_unsent_bytes);
     check("entry.body_limit_bytes", read.m_entry->m_body_limit_bytes);
     check("entry.connection_limit", read.m_entry->m_connection_limit);
     check("entry.header_timeout_ms", read.m_entry->m_header_timeout_ms);
@@ -114,6 +118,26 @@
                             << errors);
 }
 
+// Guards against limits on memory that close the connection of a single request
+// or the link of a single frame.
+BOOST_AUTO_TEST_CASE(memory_limits_hold_the_largest_message)
+{
+    auto const errors = errors_of(R"({
+        "name": "a", "failure_domain": "d",
+        "control_addresses": ["127.0.0.1:1"],
+        "client_memory_bytes": 2097152, "links_unsent_bytes": 5000000,
+        "link_unsent_bytes": 6000000,
+        "entry": {"callers_address": "127.0.0.1:0",
+                  "operators_address": "127.0.0.1:3"}})");
+    for (auto const* const expected :
+         {"x.json: client_memory_bytes: expected at least 2129920",
+          "x.json: link_unsent_bytes: expected at least frame_limit_bytes",
+          "x.json: links_unsent_bytes: expected at least link_unsent_bytes"})
+        BOOST_TEST(errors.find(expected) != std::string::npos,
+                   expected << " is missing from\n"
+                            << errors);
+}
+
 BOOST_AUTO_TEST_CASE(invalid_syntax_is_reported_with_its_position)
 {
     BOOST_TEST(errors_of("{\n  \"name\": ]}") ==
