Hold jobs of an entry whose set of workers still grows

Cause: after a restart of everything, half a second of jobs has arrived before an entry knows a worker. All of them were admitted at once against the first 2 to 5 agents and refused as late, although the other workers were idle.

Change: with `entry.awaits_workers_after_start` (on the platform where `contracts` contains "health"; default off), jobs that would be late are held and decided about every 20 ms until no agent has joined for 150 ms, at most 1.5 s after the start: first those that can be in time, by rank and urgency. Jobs that can't be in time any more are served where there is room at once. A held job is taken only while a quarter of the known capacity is free.

--- a/src/core/model/event.hpp
+++ b/src/core/model/event.hpp
@@ -107,6 +107,10 @@
     bool m_may_be_resent = false;
     /// Another process held the job, which may have run there.
     bool m_may_have_run = false;
+    /// Time for which this process has delayed the request.
+    duration m_waited{0};
+    /// It arrived before this process could serve, or knew all its workers.
+    bool m_was_held = false;
 };
 
 /// What a client requests for posted jobs.
--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -1,7 +1,9 @@
 #include "core/placement/broker.hpp"
 
 #include "core/placement/admission.hpp"
+#include "core/placement/client_wait.hpp"
 #include "core/placement/log_fields.hpp"
+#include "core/placement/placement_log.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -16,21 +18,12 @@
 namespace
 {
 
-// Assumed when the client does not say how long it waits.
-constexpr auto default_client_wait = duration{std::chrono::seconds{30}};
-// Most clients wait for 1.5 s; half of that leaves time to query another
-// replica.
-constexpr auto max_state_wait = duration{std::chrono::milliseconds{750}};
 // Load balancers probe once a second and act on the second failed probe. Until
 // then a client whose connection is closed might reconnect to this entry.
 constexpr auto idle_close_delay = duration{std::chrono::milliseconds{2200}};
 // Jobs that arrive before this are still served, so that their clients need not
 // send them again.
 constexpr auto refusal_delay = duration{std::chrono::milliseconds{2700}};
-// After a power loss, links, a leader and the configuration are available
-// within this time. Clients that are refused during it would not retry.
-constexpr auto startup_timeout = duration{std::chrono::milliseconds{700}};
-constexpr auto max_deferred_jobs = std::size_t{500};
 // About the run time of a typical task, after which there is room again.
 constexpr auto busy_retry_ms = std::uint32_t{1000};
 constexpr auto draining_retry_ms = std::uint32_t{1};
@@ -40,29 +33,6 @@
     return {state, why, {}, 0};
 }
 
-/// How long a query for the state of a job in progress may wait for the job's
-/// end. Clients query at about the time they expect it, and repeat the query
-/// only a quarter of a second later.
-auto to_state_query_wait(duration client_wait) -> duration
-{
-    return std::min(client_wait / 2, max_state_wait);
-}
-
-auto to_client_wait(std::uint32_t client_wait_ms) -> duration
-{
-    return client_wait_ms == 0
-               ? default_client_wait
-               : duration{std::chrono::milliseconds{client_wait_ms}};
-}
-
-/// Deducts the time for which the client has waited already.
-auto reduce_wait(job_arrived& request, duration waited) -> void
-{
-    if (request.m_client_wait_ms != 0)
-        request.m_client_wait_ms -=
-            std::min(whole_ms(waited), request.m_client_wait_ms - 1);
-}
-
 } // namespace
 
 broker::broker(broker_settings settings)
@@ -71,7 +41,8 @@
       m_links{{.m_seeds = std::move(settings.m_seeds),
                .m_name = settings.m_name,
                .m_control_limit = followed_replicas}},
-      m_configuration{std::move(settings.m_name)}, m_placer{settings.m_placer}
+      m_configuration{std::move(settings.m_name)}, m_placer{settings.m_placer},
+      m_startup{settings.m_awaits_workers_after_start}
 {
 }
 
@@ -80,7 +51,10 @@
     m_links.opened(peer);
     m_links.update(now, out);
     if (peer.m_role == role::agent)
+    {
         m_placer.connected(peer.m_node);
+        m_startup.observe_workers(now, m_placer.workers().size());
+    }
     if (peer.m_role == role::control)
         m_requests.connected(peer.m_node, out);
 }
@@ -125,7 +99,7 @@
         if (auto const done = m_requests.answered(from, *result, out))
             answer(done->m_request, done->m_result, out);
     }
-    process_deferred(now, random, out);
+    process_held(now, random, out);
 }
 
 auto broker::process_outcomes(time_point now, random_source& random,
@@ -154,13 +128,19 @@
             reduce_wait(request, waited);
             admit(now, request, random, out);
         }
-        // Other entries need not wait for a job that was refused here.
-        if (auto const agent = claim_agent(now, id).m_agent;
-            agent != no_node && !m_jobs_by_id.contains(id))
-            out.emplace_back(send{agent, job_yielded{id}});
+        yield_unless_accepted(now, id, out);
     }
 }
 
+auto broker::yield_unless_accepted(time_point now, std::string const& job_id,
+                                   effects& out) -> void
+{
+    auto const agent = claim_agent(now, job_id).m_agent;
+    if (agent != no_node && !m_jobs_by_id.contains(job_id) &&
+        !m_held.contains(job_id))
+        out.emplace_back(send{agent, job_yielded{job_id}});
+}
+
 auto broker::claim_agent(time_point now, std::string_view job_id) const
     -> claim_location
 {
@@ -171,14 +151,8 @@
                    effects& out) -> void
 {
     auto const why = uncertain(reason::superseded);
-    auto const is_wanted = [&job_id](auto const& deferred)
-    {
-        return deferred.second.m_job.m_id == job_id;
-    };
-    for (auto const& deferred : m_deferred)
-        if (is_wanted(deferred))
-            refuse(deferred.second, why, out);
-    std::erase_if(m_deferred, is_wanted);
+    for (auto const& held : m_held.take(job_id))
+        refuse(held.m_request, why, out);
     if (auto const found = m_jobs_by_id.find(job_id);
         found != m_jobs_by_id.end())
         finish(now, found->second, why, job_state::cancelled, out);
@@ -212,12 +186,12 @@
 
 auto broker::start(time_point now) -> void
 {
-    m_started_at = now;
+    m_startup.start(now);
 }
 
 auto broker::is_starting(time_point now) const -> bool
 {
-    return m_started_at != never && now < m_started_at + startup_timeout &&
+    return m_startup.is_starting(now) &&
            (m_configuration.config().m_version == 0 ||
             !m_placer.workers().has_any_usable(now));
 }
@@ -242,9 +216,10 @@
 auto broker::arrived(time_point now, job_arrived const& request,
                      random_source& random, effects& out) -> void
 {
-    if (is_starting(now) && m_deferred.size() < max_deferred_jobs)
+    if (is_starting(now) && m_held.has_room())
     {
-        m_deferred.emplace_back(now, request);
+        m_startup.await_first_worker();
+        hold(now, request, false, out);
         return;
     }
     if (needs_claim(request))
@@ -306,16 +281,81 @@
         {{"job", job.job().m_id}, {"age_ms", ms_field(now - job.arrived())}}});
 }
 
-auto broker::process_deferred(time_point now, random_source& random,
-                              effects& out) -> void
+auto broker::process_held(time_point now, random_source& random, effects& out)
+    -> void
 {
-    if (m_deferred.empty() || is_starting(now))
+    if (m_held.empty())
+        return;
+    if (is_starting(now))
+    {
+        m_startup.await_first_worker();
         return;
-    for (auto& [arrived_at, request] : std::exchange(m_deferred, {}))
+    }
+    if (!m_startup.is_due(now))
+        return;
+    auto held = m_held.take_all();
+    if (m_startup.awaits_workers())
+        sort_held_jobs(held,
+                       [&](held_job const& each)
+                       {
+                           return held_order(now, each);
+                       });
+    for (auto& [since, request, is_claimed] : held)
+    {
+        if (m_startup.awaits_workers() &&
+            now - since >= to_client_wait(request.m_client_wait_ms))
+        {
+            refuse(request,
+                   is_claimed || !request.m_may_be_resent
+                       ? refused(reason::deadline)
+                       : uncertain(reason::deadline),
+                   out);
+            continue;
+        }
+        reduce_wait(request, now - since);
+        if (!is_claimed)
+            arrived(now, request, random, out);
+        else
+        {
+            admit(now, request, random, out);
+            yield_unless_accepted(now, request.m_job.m_id, out);
+        }
+    }
+}
+
+auto broker::held_order(time_point now, held_job const& job) const
+    -> held_job_order
+{
+    auto const& request = job.m_request;
+    auto const* queue =
+        m_configuration.find_queue(request.m_host, request.m_path);
+    if (queue == nullptr)
+        return {};
+    auto const arrived_at = job.m_since - request.m_waited;
+    auto const objective =
+        m_placer.objective({0, request.m_job, *queue, arrived_at});
+    auto const run =
+        scaled(objective - std::chrono::milliseconds{queue->m_latency_ms},
+               1.0 / std::max(queue->m_slack_factor, 1.0));
+    auto const due = arrived_at + objective;
+    return {now + run > due, queue->m_rank, due};
+}
+
+auto broker::hold(time_point now, job_arrived const& request, bool is_claimed,
+                  effects& out) -> void
+{
+    if (m_startup.awaits_workers() && !request.m_was_held)
     {
-        reduce_wait(request, now - arrived_at);
-        arrived(now, request, random, out);
+        out.emplace_back(
+            log_line{log_level::info,
+                     "job_held",
+                     {{"job", request.m_job.m_id},
+                      {"workers", std::to_string(m_placer.workers().size())}}});
+        out.emplace_back(observe_metric{"hickorylatch_held_jobs_total"});
     }
+    auto held = held_job{now, request, is_claimed};
+    held.m_request.m_was_held = true;
+    m_held.add(std::move(held));
 }
 
 auto broker::accept_or_refuse(time_point now, job_arrived const& request,
@@ -324,16 +364,31 @@
 {
     auto const wait = to_client_wait(request.m_client_wait_ms);
     auto const number = ++m_last_job_number;
+    auto const free_share = m_placer.workers().free_share(now);
     m_placer.add({number, request, queue, now, now + wait});
+    auto plan = m_placer.plan(now, number, random);
+    auto& job = *m_placer.find(number);
+    auto const objective = m_placer.objective(job);
+    auto const run = plan.m_finish - plan.m_wait;
+    auto const decision =
+        m_startup.decide(now, {plan.m_wait, run, objective, request.m_waited,
+                               request.m_was_held, free_share});
+    if (decision == admission::hold && m_held.has_room())
+    {
+        m_placer.discard(plan);
+        m_placer.remove(number, out);
+        m_startup.schedule_attempt(now);
+        hold(now, request, request.m_may_be_resent, out);
+        return;
+    }
     add_caller(request.m_exchange, number);
     m_jobs_by_id[request.m_job.m_id] = number;
     m_deadlines.emplace(now + wait, number);
-    auto plan = m_placer.plan(now, number, random);
-    auto& job = *m_placer.find(number);
-    auto const wait_limit =
-        max_wait(m_placer.objective(job), plan.m_finish - plan.m_wait);
-    out.emplace_back(placement_log_line(now, job, plan, wait_limit));
-    if (plan.m_wait > wait_limit)
+    auto const wait_limit = max_wait(objective, run);
+    out.emplace_back(placement_log_line(
+        now, {job, plan, m_placer.workers(), m_configuration.config().m_version,
+              wait_limit, decision == admission::accept}));
+    if (decision != admission::accept)
     {
         m_placer.discard(plan);
         finish(now, number,
@@ -353,37 +408,6 @@
     m_placer.execute(now, number, std::move(plan), out);
 }
 
-auto broker::placement_log_line(time_point now, placed_job const& job,
-                                job_plan const& plan, duration wait_limit) const
-    -> log_line
-{
-    auto const& directory = m_placer.workers();
-    auto workers = std::string{};
-    auto oldest = duration{0};
-    for (auto const& [agent, order] : plan.m_orders)
-    {
-        if (!workers.empty())
-            workers += ',';
-        workers.append(directory.worker_name(agent))
-            .append(":")
-            .append(std::to_string(order.m_runs.size()));
-        oldest = std::max(oldest, directory.load_age(now, agent));
-    }
-    return {log_level::info,
-            plan.m_wait > wait_limit ? "job_late" : "job_taken",
-            {{"job", job.job().m_id},
-             {"queue", job.queue().m_name},
-             {"version", std::to_string(m_configuration.config().m_version)},
-             {"wait_ms", ms_field(plan.m_wait)},
-             {"forecast_ms", ms_field(plan.m_forecast)},
-             {"longest_wait_ms", ms_field(wait_limit)},
-             {"finish_ms", ms_field(plan.m_finish)},
-             {"load_age_ms", ms_field(oldest)},
-             {"workers", workers},
-             {"reserved_at", std::to_string(plan.m_reservations.size())},
-             {"unplaced", std::to_string(plan.m_unplaced)}}};
-}
-
 auto broker::query_arrived(time_point now, job_query_arrived const& request,
                            effects& out) -> void
 {
@@ -463,11 +487,7 @@
 auto broker::abandoned(time_point now, exchange_id exchange, effects& out)
     -> void
 {
-    std::erase_if(m_deferred,
-                  [exchange](auto const& deferred)
-                  {
-                      return deferred.second.m_exchange == exchange;
-                  });
+    m_held.abandon(exchange);
     m_requests.abandon(exchange);
     m_claims.abandon(exchange);
     auto const found = m_jobs_by_exchange.find(exchange);
@@ -551,7 +571,7 @@
         m_close_idle_at = never;
         out.emplace_back(close_idle_callers{});
     }
-    process_deferred(now, random, out);
+    process_held(now, random, out);
     if (now >= m_links.next_deadline())
         m_links.update(now, out);
     m_configuration.tick(now, out);
@@ -589,7 +609,7 @@
 
 auto broker::is_empty() const -> bool
 {
-    return jobs() == 0 && m_deferred.empty() && m_requests.size() == 0 &&
+    return jobs() == 0 && m_held.empty() && m_requests.size() == 0 &&
            m_claims.size() == 0;
 }
 
@@ -599,8 +619,8 @@
         std::min({m_placer.next_deadline(), m_requests.next_deadline(),
                   m_links.next_deadline(), m_configuration.next_deadline(),
                   m_claims.next_deadline(), m_close_idle_at});
-    if (!m_deferred.empty())
-        first = std::min(first, m_started_at + startup_timeout);
+    if (!m_held.empty())
+        first = std::min(first, m_startup.next_attempt());
     if (m_refuse_at != never && m_close_idle_at == never && is_empty())
         first = std::min(first, m_refuse_at);
     if (!m_deadlines.empty())
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -6,9 +6,11 @@
 #include "core/model/random_source.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/control_requests.hpp"
+#include "core/placement/held_jobs.hpp"
 #include "core/placement/job_claims.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/run_placer.hpp"
+#include "core/placement/startup_admission.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +33,9 @@
     run_placer_settings m_placer;
     /// Forwards durable jobs to the control group. Otherwise they are refused.
     bool m_takes_durable_jobs = false;
+    /// Holds jobs that would be late while the set of workers grows after the
+    /// start.
+    bool m_awaits_workers_after_start = false;
 };
 
 /// Accepts step jobs. It places jobs that are not durable on workers through
@@ -82,6 +87,9 @@
     /// runs at another entry.
     auto admit(time_point now, job_arrived const& request,
                random_source& random, effects& out) -> void;
+    /// Other entries need not wait for a job that is not accepted here.
+    auto yield_unless_accepted(time_point now, std::string const& job_id,
+                               effects& out) -> void;
     [[nodiscard]] auto claim_agent(time_point now,
                                    std::string_view job_id) const
         -> claim_location;
@@ -101,7 +109,7 @@
     [[nodiscard]] auto is_starting(time_point now) const -> bool;
     auto refuse(job_arrived const& request, verdict const& why, effects& out)
         -> void;
-    /// Accepts a job, or refuses it because it would be late.
+    /// Accepts a job, holds it, or refuses it because it would be late.
     auto accept_or_refuse(time_point now, job_arrived const& request,
                           job_queue const& queue, random_source& random,
                           effects& out) -> void;
@@ -110,16 +118,14 @@
     auto join(time_point now, job_arrived const& request, std::uint64_t job,
               effects& out) -> void;
     auto add_caller(exchange_id exchange, std::uint64_t job) -> void;
-    /// Processes the jobs that arrived before this process could serve.
-    auto process_deferred(time_point now, random_source& random, effects& out)
+    auto hold(time_point now, job_arrived const& request, bool is_claimed,
+              effects& out) -> void;
+    /// Decides about the jobs that were held.
+    auto process_held(time_point now, random_source& random, effects& out)
         -> void;
+    [[nodiscard]] auto held_order(time_point now, held_job const& job) const
+        -> held_job_order;
 
-    /// Log line with the inputs of the admission decision and the chosen
-    /// workers.
-    [[nodiscard]] auto placement_log_line(time_point now, placed_job const& job,
-                                          job_plan const& plan,
-                                          duration wait_limit) const
-        -> log_line;
     auto fail(time_point now, std::uint64_t job, reason why, effects& out)
         -> void;
     auto finish(time_point now, std::uint64_t job, verdict const& outcome,
@@ -136,10 +142,10 @@
     /// Jobs by the exchanges that wait for them, and the reverse.
     std::map<exchange_id, std::uint64_t> m_jobs_by_exchange;
     std::map<std::uint64_t, std::vector<exchange_id>> m_callers;
-    /// Jobs that arrived before this process had a configuration and a worker,
-    /// with their arrival times.
-    std::vector<std::pair<time_point, job_arrived>> m_deferred;
-    time_point m_started_at = never;
+    startup_admission m_startup;
+    /// Jobs that arrived before this process could serve, or that would be late
+    /// at the workers that it knew after its start.
+    held_jobs m_held;
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
     std::uint64_t m_last_job_number = 0;
     /// When idle callers' connections are closed; `never` unless a stop was
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -323,6 +323,20 @@
                                });
 }
 
+auto worker_directory::free_share(time_point now) const -> double
+{
+    auto free = 0.0;
+    auto capacity = 0.0;
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (!is_usable(now, worker))
+            continue;
+        free += free_room(worker).m_millicores;
+        capacity += worker.m_announcement.m_worker.m_capacity.m_millicores;
+    }
+    return capacity == 0.0 ? 0.0 : free / capacity;
+}
+
 auto worker_directory::slowness(node_id agent) const -> double
 {
     auto const found = m_workers.find(agent);
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -97,6 +97,8 @@
     [[nodiscard]] auto has_usable(time_point now,
                                   std::string_view service) const -> bool;
     [[nodiscard]] auto has_any_usable(time_point now) const -> bool;
+    /// Share of the usable workers' millicores that is free; 0 without workers.
+    [[nodiscard]] auto free_share(time_point now) const -> double;
     /// Ratio of run times at this worker to expected run times; 1 is average.
     [[nodiscard]] auto slowness(node_id agent) const -> double;
     /// Number of the last order on the current link; 0 if there is none.
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -114,6 +114,10 @@
         out.m_seeds = read(file, "seeds", std::vector<std::string>{});
         out.m_is_first_start = read(file, "bootstrap", false);
         out.m_data_folder = read(file, "dataDir", std::string{});
+        auto const contracts =
+            read(file, "contracts", std::vector<std::string>{});
+        out.m_relies_on_health =
+            std::ranges::find(contracts, "health") != contracts.end();
         auto const ports = read(file, "portRange", std::vector<std::int64_t>{});
         if (ports.empty() || ports.front() <= 0 || ports.front() > 65'000)
             return fail("portRange: no usable port");
@@ -174,6 +178,7 @@
         broker.m_operators_address =
             join_address(host.m_listen_ip, entry_metrics_port);
         broker.m_placement = to_placement(host);
+        broker.m_sparse.m_awaits_workers_after_start = host.m_relies_on_health;
         out.m_broker = std::move(broker);
         return out;
     }
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -61,6 +61,9 @@
     /// Factor on the run time of a task outside the rack with its data
     /// ("spreadFactor").
     double m_spread_factor = 1.0;
+    /// Clients and the load balancer rely on what an entry reports about
+    /// itself: "contracts" contains "health".
+    bool m_relies_on_health = false;
     std::uint32_t m_memory_mb = 0;
     /// Processor capacity in standard cores: "cpuShare" of a core that is
     /// "cores" times as fast as a standard one.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -158,6 +158,8 @@
     in.read("body_limit_bytes", out.m_body_limit_bytes);
     in.read("connection_limit", out.m_connection_limit);
     in.read("header_timeout_ms", out.m_header_timeout_ms);
+    in.read("awaits_workers_after_start",
+            out.m_sparse.m_awaits_workers_after_start);
     in.object().reject_unknown_keys();
     auto const highest = frame_limit - frame_overhead_bytes;
     if (out.m_body_limit_bytes > highest)
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -38,6 +38,15 @@
     std::string m_authority_file;
 };
 
+/// Admission of step jobs at an entry that sees few workers. Applies to entries
+/// that place step jobs themselves.
+struct sparse_entry_settings
+{
+    /// Holds jobs that would be late while links to more workers open after the
+    /// start. Default: false.
+    bool m_awaits_workers_after_start = false;
+};
+
 /// The entry role: callers' HTTP requests and operators' records.
 struct entry_settings
 {
@@ -53,6 +62,7 @@
     /// Time within which a request's headers must arrive, in milliseconds.
     /// Default: 10000.
     std::uint32_t m_header_timeout_ms = 10'000;
+    sparse_entry_settings m_sparse = {};
 };
 
 /// Placement of the tasks of step jobs on workers. Set by adapters only.
@@ -117,6 +127,7 @@
     /// Accepts step jobs that must survive this process and forwards them to
     /// the control group. Otherwise they are refused.
     bool m_takes_durable_jobs = false;
+    sparse_entry_settings m_sparse = {};
 };
 
 /// The executor role: runs tasks of step jobs at one worker. Set by adapters
--- a/src/settings/settings_field.cpp
+++ b/src/settings/settings_field.cpp
@@ -160,6 +160,16 @@
      "ms",
      "Time within which a request's headers must arrive",
      {1, hour_ms}},
+    {"entry.awaits_workers_after_start",
+     flag,
+     optional,
+     "false",
+     "",
+     "Holds step jobs that would be late while links to more workers open "
+     "after "
+     "the start; applies to entries that place step jobs themselves (`host "
+     "entry`)",
+     {}},
 
     {"control",
      section,
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -89,6 +89,22 @@
     }
 }
 
+auto placement_world::start_entry(core::broker_settings settings) -> void
+{
+    auto const name = settings.m_name;
+    auto& added = m_entries[name];
+    added.m_node = core::node_id{++m_last_node};
+    added.m_domain = settings.m_failure_domain;
+    added.m_broker = std::make_unique<core::broker>(std::move(settings));
+    added.m_broker->start(m_now);
+}
+
+auto placement_world::open_link(std::string const& entry,
+                                std::string const& worker) -> void
+{
+    connect(entry, worker);
+}
+
 auto placement_world::add_worker(std::string const& name,
                                  worker_model::leased_worker_settings settings,
                                  std::vector<std::string> labels,
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -52,6 +52,10 @@
     auto let_agents_choose_entries() -> void;
     auto add_entry(std::string const& name, std::string const& domain = {})
         -> void;
+    /// Starts an entry process that has no links yet.
+    auto start_entry(core::broker_settings settings) -> void;
+    /// Opens the link from the worker's agent to the entry.
+    auto open_link(std::string const& entry, std::string const& worker) -> void;
     auto add_worker(std::string const& name,
                     worker_model::leased_worker_settings settings = {},
                     std::vector<std::string> labels = {},
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -74,6 +74,23 @@
     BOOST_TEST(entry.m_value->m_broker->m_placement.m_loads_per_s == 1'920U);
 }
 
+// Guards against entries that keep clients waiting in deployments that do not
+// rely on what an entry reports about itself.
+BOOST_AUTO_TEST_CASE(the_health_contract_enables_waits_for_workers)
+{
+    auto const waits = [](std::string const& contracts)
+    {
+        auto const host = parse_settings(contracts + example_text);
+        BOOST_REQUIRE_MESSAGE(host.m_value, host.m_error);
+        auto const entry = convert(*host.m_value, platform::duty::entry);
+        BOOST_REQUIRE_MESSAGE(entry.m_value, entry.m_error);
+        return entry.m_value->m_broker->m_sparse.m_awaits_workers_after_start;
+    };
+    BOOST_TEST(!waits(""));
+    BOOST_TEST(!waits("contracts = [\"jobs\"]\n"));
+    BOOST_TEST(waits("contracts = [\"jobs\",\"health\"]\n"));
+}
+
 BOOST_AUTO_TEST_CASE(platform_settings_are_translated)
 {
     auto const host = parse_settings(example_text);
