--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -331,14 +331,9 @@
         m_configuration.find_queue(request.m_host, request.m_path);
     if (queue == nullptr)
         return {};
-    auto const arrived_at = job.m_since - request.m_waited;
     auto const objective =
-        m_placer.objective({0, request.m_job, *queue, arrived_at});
-    auto const run =
-        scaled(objective - std::chrono::milliseconds{queue->m_latency_ms},
-               1.0 / std::max(queue->m_slack_factor, 1.0));
-    auto const due = arrived_at + objective;
-    return {now + run > due, queue->m_rank, due};
+        m_placer.objective({0, request.m_job, *queue, job.m_since});
+    return order_of(now, job, *queue, objective);
 }
 
 auto broker::hold(time_point now, job_arrived const& request, bool is_claimed,
@@ -526,24 +521,7 @@
     -> void
 {
     auto const& ended = *m_placer.find(number);
-    out.emplace_back(
-        log_line{log_level::info,
-                 "job_ended",
-                 {{"job", ended.job().m_id},
-                  {"queue", ended.queue().m_name},
-                  {"state", std::string{to_string(state)}},
-                  {"verdict", std::string{to_string(outcome.m_run)}},
-                  {"reason", std::string{to_string(outcome.m_reason)}},
-                  {"age_ms", ms_field(now - ended.arrived())}}});
-    out.emplace_back(
-        observe_metric{"hickorylatch_jobs_total",
-                       {{"verdict", std::string{to_string(outcome.m_run)}}}});
-    out.emplace_back(observe_metric{"hickorylatch_job_seconds",
-                                    {{"queue", ended.queue().m_name},
-                                     {"state", std::string{to_string(state)}}},
-                                    to_seconds(now - ended.arrived())});
-    if (outcome.m_run != core::run_state::ran)
-        out.emplace_back(count_refusal(outcome));
+    report_end(now, ended, outcome, state, out);
     for (auto const caller : m_callers.at(number))
     {
         out.emplace_back(answer_job{caller, outcome, state});
--- a/src/core/placement/held_jobs.cpp
+++ b/src/core/placement/held_jobs.cpp
@@ -14,6 +14,16 @@
 
 } // namespace
 
+auto order_of(time_point now, held_job const& job, job_queue const& queue,
+              duration objective) -> held_job_order
+{
+    auto const run =
+        scaled(objective - std::chrono::milliseconds{queue.m_latency_ms},
+               1.0 / std::max(queue.m_slack_factor, 1.0));
+    auto const due = job.m_since - job.m_request.m_waited + objective;
+    return {now + run > due, queue.m_rank, due};
+}
+
 auto held_jobs::has_room() const -> bool
 {
     return m_jobs.size() < max_held_jobs;
--- a/src/core/placement/held_jobs.hpp
+++ b/src/core/placement/held_jobs.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYLATCH_CORE_PLACEMENT_HELD_JOBS_HPP
 #define HICKORYLATCH_CORE_PLACEMENT_HELD_JOBS_HPP
 
+#include "core/model/configuration.hpp"
 #include "core/model/event.hpp"
 #include "core/model/time.hpp"
 
@@ -34,6 +35,11 @@
     auto operator<=>(held_job_order const&) const = default;
 };
 
+/// `objective` is the job's latency objective from its arrival.
+[[nodiscard]] auto order_of(time_point now, held_job const& job,
+                            job_queue const& queue, duration objective)
+    -> held_job_order;
+
 /// Requests that arrived before an entry could serve them, in order of their
 /// arrival.
 class held_jobs
--- a/src/core/placement/placement_log.cpp
+++ b/src/core/placement/placement_log.cpp
@@ -39,4 +39,27 @@
              {"unplaced", std::to_string(plan.m_unplaced)}}};
 }
 
+auto report_end(time_point now, placed_job const& ended, verdict const& outcome,
+                job_state state, effects& out) -> void
+{
+    out.emplace_back(
+        log_line{log_level::info,
+                 "job_ended",
+                 {{"job", ended.job().m_id},
+                  {"queue", ended.queue().m_name},
+                  {"state", std::string{to_string(state)}},
+                  {"verdict", std::string{to_string(outcome.m_run)}},
+                  {"reason", std::string{to_string(outcome.m_reason)}},
+                  {"age_ms", ms_field(now - ended.arrived())}}});
+    out.emplace_back(
+        observe_metric{"hickorylatch_jobs_total",
+                       {{"verdict", std::string{to_string(outcome.m_run)}}}});
+    out.emplace_back(observe_metric{"hickorylatch_job_seconds",
+                                    {{"queue", ended.queue().m_name},
+                                     {"state", std::string{to_string(state)}}},
+                                    to_seconds(now - ended.arrived())});
+    if (outcome.m_run != core::run_state::ran)
+        out.emplace_back(count_refusal(outcome));
+}
+
 } // namespace hickorylatch::core
--- a/src/core/placement/placement_log.hpp
+++ b/src/core/placement/placement_log.hpp
@@ -25,6 +25,10 @@
                                       admission_record const& record)
     -> log_line;
 
+/// Adds the log line and the metrics of the end of a job.
+auto report_end(time_point now, placed_job const& ended, verdict const& outcome,
+                job_state state, effects& out) -> void;
+
 } // namespace hickorylatch::core
 
 #endif
