--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -106,6 +106,8 @@
     /// may be usable again.
     [[nodiscard]] auto requires_evacuated(std::string_view service,
                                           job_step const& step) const -> bool;
+    /// Share of the usable workers' millicores that is free; 0 without workers.
+    [[nodiscard]] auto free_share(time_point now) const -> double;
     /// Ratio of run times at this worker to expected run times; 1 is average.
     [[nodiscard]] auto slowness(node_id agent) const -> double;
     /// Number of the last order on the current link; 0 if there is none.
--- a/src/platform/settings.hpp
+++ b/src/platform/settings.hpp
@@ -63,6 +63,9 @@
     /// Factor on the run time of a task outside the rack with its data
     /// ("spreadFactor").
     double m_spread_factor = 1.0;
+    /// Clients and the load balancer rely on what an entry reports about
+    /// itself: "contracts" contains "health".
+    bool m_relies_on_health = false;
     /// Memory and descriptors of this process; 0 if they are not known.
     std::uint32_t m_memory_mb = 0;
     std::uint32_t m_descriptors = 0;
