--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -551,6 +551,27 @@
     full
 };
 
+/// Identifies a queue in messages of agents, which know no configuration: the
+/// lower half of the stable hash of its name.
+using queue_key = std::uint32_t;
+
+/// Number of runs of a queue at a worker.
+struct queue_count
+{
+    queue_key m_queue = 0;
+    std::uint32_t m_count = 0;
+};
+BOOST_DESCRIBE_STRUCT(queue_count, (), (m_queue, m_count))
+
+/// Mean number of runs of a queue that were at a worker during a run there, in
+/// thousandths.
+struct queue_concurrency
+{
+    queue_key m_queue = 0;
+    std::uint32_t m_mean_permille = 0;
+};
+BOOST_DESCRIBE_STRUCT(queue_concurrency, (), (m_queue, m_mean_permille))
+
 /// Free capacity of a worker and the state of its queue, from its agent.
 struct worker_load
 {
@@ -565,10 +586,12 @@
     std::uint64_t m_last_order = 0;
     /// Send time by the agent's clock, echoed in `contact_confirmed`.
     time_point m_sent_at{0};
+    /// Runs at the worker, if the receiver's orders name their queues.
+    std::optional<std::vector<queue_count>> m_running;
 };
 BOOST_DESCRIBE_STRUCT(worker_load, (),
                       (m_accepts, m_free, m_waits, m_slowness_permille,
-                       m_last_order, m_sent_at))
+                       m_last_order, m_sent_at, m_running))
 
 /// Heartbeat of an entry, or of the leader that places durable jobs, in answer
 /// to `worker_load`. An agent that gets none in time stops the sender's runs.
@@ -618,10 +641,12 @@
     std::vector<run_order> m_runs;
     /// Number of the `offer_room` that this order accepts; 0 for none.
     std::uint64_t m_offer = 0;
+    /// Queue of the job, if the sender wants to know what ran beside its runs.
+    std::optional<queue_key> m_queue;
 };
 BOOST_DESCRIBE_STRUCT(order_runs, (),
                       (m_order, m_job, m_job_id, m_body, m_rank, m_time_left_ms,
-                       m_runs, m_offer))
+                       m_runs, m_offer, m_queue))
 
 /// Queues a request for capacity at an agent for tasks of one step (late
 /// binding). The entry decides which tasks run there, if any, when the agent
@@ -749,8 +774,12 @@
     reason m_reason = reason::none;
     /// Run time in milliseconds, if it ran.
     std::uint32_t m_run_ms = 0;
+    /// What ran beside it, if its order named its queue. Absent if the run was
+    /// not successful or its worker had just started.
+    std::optional<std::vector<queue_concurrency>> m_beside;
 };
-BOOST_DESCRIBE_STRUCT(run_end, (), (m_run, m_outcome, m_reason, m_run_ms))
+BOOST_DESCRIBE_STRUCT(run_end, (),
+                      (m_run, m_outcome, m_reason, m_run_ms, m_beside))
 
 /// The end of a run that the worker reports and the agent has no order for: an
 /// earlier process of the agent started it.
