Report from agents which runs were beside each other

Cause: an entry knows only its own runs at a worker.

Change: if an order names its queue, the agent counts its runs, names the queues of the runs at the worker in the load of that requester, and reports with the end of a successful run what was beside it. The bookkeeping is in concurrent_runs; the executor calls it at a start, an end, a load and a new incarnation.

Ruled out: a setting of agents. They follow the orders, so that processes with and without the feature can be mixed.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -304,8 +304,10 @@
         return;
     auto& requester = found->second;
     requester.m_last_order = order.m_order;
+    requester.m_names_queues = order.m_queue.has_value();
     m_is_load_changed = true;
     auto job = std::make_shared<ordered_job>();
+    job->m_queue = order.m_queue;
     job->m_requester = from;
     job->m_id = order.m_job_id;
     job->m_body = order.m_body;
@@ -592,6 +594,7 @@
     m_strays.clear();
     m_health = {};
     m_slowness = {};
+    m_concurrent_runs.worker_started(now);
     m_last_needs = {};
     // The first poll shows runs of an earlier process of this agent.
     m_is_poll_due = true;
@@ -979,6 +982,7 @@
     run.m_expected = next.m_expected;
     run.m_number = next.m_ref.m_run;
     run.m_queued_at = next.m_queued_at;
+    run.m_concurrency = m_concurrent_runs.begin(now, next.m_job->m_queue);
     auto const started = m_live.emplace(
         live_key{next.m_job->m_id, next.m_ref.m_task}, std::move(run));
     m_health.record_binding();
@@ -1033,6 +1037,7 @@
     m_live.erase(ended);
     m_is_load_changed = true;
     record_outcome(now, run, outcome);
+    auto beside = m_concurrent_runs.end(now, run.m_concurrency);
     log_end(now, job, run, outcome, why, out);
     auto const requester = m_requesters.find(run.m_job->m_requester);
     if (requester == m_requesters.end())
@@ -1044,6 +1049,8 @@
                       : run.m_is_superseded ? reason::superseded
                                             : why;
     report.m_run_ms = whole_ms(now - run.m_started_at);
+    if (outcome == run_outcome::succeeded)
+        report.m_beside = std::move(beside);
     requester->second.m_unsent_ends.push_back(report);
     if (requester->second.m_term == 0 || number == 0 ||
         !must_be_recorded(outcome))
@@ -1382,6 +1389,8 @@
             current = load(now);
         current->m_last_order = requester.m_last_order;
         auto report = *current;
+        if (requester.m_names_queues)
+            report.m_running = m_concurrent_runs.running();
         if (requester.m_draining_since != never)
             report.m_accepts = acceptance::none;
         out.emplace_back(send{node, std::move(report)});
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/agent_health.hpp"
 #include "core/model/effect.hpp"
 #include "core/placement/claim_table.hpp"
+#include "core/placement/concurrent_runs.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/link_targets.hpp"
 #include "core/placement/load_report_schedule.hpp"
@@ -130,6 +131,7 @@
         /// the lease of its start had expired. It may have started before.
         time_point m_revoked_at = never;
         time_point m_stop_retry_at = never;
+        run_concurrency m_concurrency;
     };
 
     /// State of a process that orders runs: an entry, or the leader of the
@@ -148,6 +150,8 @@
         /// Newest configuration that it was notified of on this link.
         configuration_version m_notified_version = 0;
         std::uint64_t m_last_order = 0;
+        /// Its orders name the queues of their jobs.
+        bool m_names_queues = false;
         load_report_schedule m_load_schedule;
         /// Its runs may continue until then.
         time_point m_contact_until{0};
@@ -311,6 +315,7 @@
     time_point m_strays_stopped_at{0};
     agent_health m_health;
     slowness_estimate m_slowness;
+    concurrent_runs m_concurrent_runs;
     /// Needs of the last run or reservation; load reports forecast the wait of
     /// another one like it.
     resources m_last_needs;
--- a/src/core/placement/run_queue.hpp
+++ b/src/core/placement/run_queue.hpp
@@ -27,6 +27,8 @@
     std::uint32_t m_rank = 0;
     /// A run that would end after this time is not started.
     time_point m_deadline = never;
+    /// None if the requester does not want to know what ran beside its runs.
+    std::optional<queue_key> m_queue;
 };
 
 /// A run that waits for room at a worker, or a reservation of room for tasks
