Prefer workers whose runs do not interfere with a task

Cause: a task is drawn to a worker by room, wait and speed, whatever runs there.

Change: with run_placer_settings::m_separates_interfering_tasks, off by default, a placer learns from the ends of its runs. Among the workers with room, the cost of one rises by what the task and the runs there are expected to lose by each other. Which workers are considered, the random number and the forecast of the run time are those without the setting, so that nothing waits or is refused because of it. A log line tells when a pair begins or ceases to count, and a gauge how many do. The emulated worker can slow runs down by their neighbours.

--- a/src/core/placement/job_planner.cpp
+++ b/src/core/placement/job_planner.cpp
@@ -104,7 +104,8 @@
         order.m_time_left_ms = time_left_ms(now, job);
         plan.m_reservations.emplace_back(each.m_agent, order);
         m_workers.add_order(each.m_agent, order.m_order, order.m_needs,
-                            requested.m_expected * tasks * share / 1'000);
+                            requested.m_expected * tasks * share / 1'000,
+                            std::nullopt);
     }
     auto const forecast = expected_room_wait(agents, tasks);
     auto const wait =
@@ -166,7 +167,8 @@
     auto const expected = expected_run(job.queue(), step);
     order.m_runs.push_back(
         {task.m_index, task.m_run + 1, step.m_needs, whole_ms(expected)});
-    m_workers.add_order(agent, order.m_order, step.m_needs, expected);
+    m_workers.add_order(agent, order.m_order, step.m_needs, expected,
+                        to_queue_key(job.queue().m_name));
 }
 
 auto job_planner::set_common_fields(time_point now, placed_job const& job,
@@ -177,6 +179,8 @@
     order.m_body = job.job().m_body;
     order.m_rank = job.queue().m_rank;
     order.m_time_left_ms = time_left_ms(now, job);
+    if (m_workers.interference() != nullptr)
+        order.m_queue = to_queue_key(job.queue().m_name);
 }
 
 auto job_planner::choose(time_point now, placed_job const& job,
@@ -237,6 +241,7 @@
     requested.m_rank = queue.m_rank;
     requested.m_step = &step;
     requested.m_expected = expected_run(queue, step);
+    requested.m_queue = to_queue_key(queue.m_name);
     return requested;
 }
 
--- a/src/core/placement/job_planner.hpp
+++ b/src/core/placement/job_planner.hpp
@@ -85,8 +85,8 @@
     auto add_run(placed_job const& job, placed_task const& task, node_id agent,
                  order_runs& order) -> void;
     /// Sets the fields that are common to all runs of an order.
-    static auto set_common_fields(time_point now, placed_job const& job,
-                                  order_runs& order) -> void;
+    auto set_common_fields(time_point now, placed_job const& job,
+                           order_runs& order) -> void;
     /// Plans reservations for tasks of a step that no worker had room for.
     auto reserve(time_point now, placed_job const& job, std::uint32_t step,
                  std::uint32_t tasks, job_plan& plan, random_source& random)
--- a/src/core/placement/run_placer.cpp
+++ b/src/core/placement/run_placer.cpp
@@ -3,6 +3,7 @@
 #include "core/placement/log_fields.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
 // not end its job even if the failure limit of the queue is lower.
 constexpr auto min_lost_run_limit = 3U;
 
+constexpr auto max_queue_names = std::size_t{256};
+
 auto is_run(placed_task const& task, node_id agent, run_ref const& run) -> bool
 {
     auto const has_run = task.m_state == task_state::placed ||
@@ -37,6 +40,8 @@
 run_placer::run_placer(run_placer_settings settings) : m_settings{settings}
 {
     m_workers.set_spread_factor(m_settings.m_spread_factor);
+    if (m_settings.m_separates_interfering_tasks)
+        m_workers.separate_interfering_tasks();
 }
 
 auto run_placer::connected(node_id agent) -> void
@@ -321,6 +326,7 @@
                     configuration_version version, effects& out) -> void
 {
     m_workers.update(now, from, load);
+    update_interference(now, out);
     auto const found = m_agents.find(from);
     if (found == m_agents.end())
         return;
@@ -402,6 +408,7 @@
     {
         m_planner.observe(job->second, *task,
                           std::chrono::milliseconds{end.m_run_ms});
+        observe_interference(now, job->second, *task, end);
         complete_task(now, job->second, *task, random, out);
         return true;
     }
@@ -449,6 +456,51 @@
     m_agents[agent].m_jobs.insert(job.number());
 }
 
+auto run_placer::observe_interference(time_point now, placed_job const& job,
+                                      placed_task const& task,
+                                      run_end const& end) -> void
+{
+    auto* const estimate = m_workers.interference();
+    if (estimate == nullptr || !end.m_beside)
+        return;
+    auto const key = to_queue_key(job.queue().m_name);
+    if (m_queue_names.size() < max_queue_names)
+        m_queue_names.try_emplace(key, job.queue().m_name);
+    estimate->observe(now,
+                      {key, task.m_agent,
+                       std::chrono::milliseconds{job.step(task).m_declared_ms},
+                       std::chrono::milliseconds{end.m_run_ms}, *end.m_beside});
+}
+
+auto run_placer::update_interference(time_point now, effects& out) -> void
+{
+    auto* const estimate = m_workers.interference();
+    if (estimate == nullptr)
+        return;
+    auto const changes = estimate->update(now);
+    auto const name = [this](queue_key key)
+    {
+        auto const found = m_queue_names.find(key);
+        return found == m_queue_names.end() ? std::to_string(key)
+                                            : found->second;
+    };
+    for (auto const& each : changes)
+        out.emplace_back(log_line{
+            log_level::info,
+            each.m_counts ? "interference_began" : "interference_ended",
+            {{"queue", name(each.m_queue)},
+             {"beside", name(each.m_beside)},
+             {"factor_permille",
+              std::to_string(std::lround(each.m_factor * 1'000))},
+             {"error_permille",
+              std::to_string(std::lround(each.m_log_error * 1'000))}}});
+    if (!changes.empty())
+        out.emplace_back(
+            observe_metric{"hickorylatch_interfering_queue_pairs",
+                           {},
+                           static_cast<double>(estimate->pairs())});
+}
+
 auto run_placer::complete_task(time_point now, placed_job& job,
                                placed_task& task, random_source& random,
                                effects& out) -> void
--- a/src/core/placement/run_placer.hpp
+++ b/src/core/placement/run_placer.hpp
@@ -31,6 +31,9 @@
     /// Maximum rate of load messages from all agents, per second. Limits the
     /// processor time spent on them.
     std::uint32_t m_loads_per_s = 3'000;
+    /// Prefers, among workers with room, those whose runs do not slow the task
+    /// down and are not slowed down by it.
+    bool m_separates_interfering_tasks = false;
 };
 
 /// How a job of a placer ended.
@@ -153,6 +156,12 @@
     /// Assigns a task that was in doubt to the agent that has a run of it.
     auto assign_run(placed_job& job, placed_task& task, node_id agent,
                     std::uint32_t run) -> void;
+    /// Learns from a run that succeeded what slows it down.
+    auto observe_interference(time_point now, placed_job const& job,
+                              placed_task const& task, run_end const& end)
+        -> void;
+    /// Updates which queues interfere, and reports changes.
+    auto update_interference(time_point now, effects& out) -> void;
     auto complete_task(time_point now, placed_job& job, placed_task& task,
                        random_source& random, effects& out) -> void;
     /// Counts a failed run of the task; false if its job has failed with it.
@@ -208,6 +217,8 @@
     /// Jobs with tasks that wait for room, or that found no worker.
     std::set<std::uint64_t> m_unplaced;
     time_point m_retry_at = never;
+    /// Names of the queues of observed runs, for logs.
+    std::map<queue_key, std::string> m_queue_names;
 };
 
 } // namespace hickorylatch::core
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -47,6 +47,16 @@
     m_spread_factor = factor;
 }
 
+auto worker_directory::separate_interfering_tasks() -> void
+{
+    m_interference.emplace();
+}
+
+auto worker_directory::interference() -> interference_estimate*
+{
+    return m_interference ? &*m_interference : nullptr;
+}
+
 auto worker_directory::connected(node_id agent) -> void
 {
     auto& worker = m_workers[agent];
@@ -108,10 +118,10 @@
 }
 
 auto worker_directory::add_order(node_id agent, std::uint64_t order,
-                                 resources const& needs, duration expected)
-    -> void
+                                 resources const& needs, duration expected,
+                                 std::optional<queue_key> queue) -> void
 {
-    m_workers.at(agent).m_unreported.push_back({order, needs, expected});
+    m_workers.at(agent).m_unreported.push_back({order, needs, expected, queue});
 }
 
 auto worker_directory::remove_order(node_id agent, std::uint64_t order) -> void
@@ -148,10 +158,36 @@
         return each.m_room != 0 &&
                each.m_cost <= best.m_cost + request.m_expected;
     };
+    auto const fraction = random.fraction();
     if (std::ranges::none_of(found, has_room))
-        return draw(found, request.m_expected, full_cost_scale, random);
+        return draw(found, request.m_expected, full_cost_scale, fraction);
     std::erase_if(found, std::not_fn(has_room));
-    return draw(found, request.m_expected, cost_scale, random);
+    auto const choice = draw(found, request.m_expected, cost_scale, fraction);
+    if (!m_interference || m_interference->pairs() == 0)
+        return choice;
+    add_interference(request, found);
+    auto separated = draw(found, request.m_expected, cost_scale, fraction);
+    // Admission must not refuse a job because its tasks are separated, so the
+    // forecast stays that of the choice without separation.
+    separated.m_run = choice.m_run;
+    return separated;
+}
+
+auto worker_directory::add_interference(
+    placement_request const& request, std::span<placement_choice> choices) const
+    -> void
+{
+    for (auto& each : choices)
+    {
+        auto const& worker = m_workers.at(each.m_agent);
+        auto beside =
+            worker.m_load.m_running.value_or(std::vector<queue_count>{});
+        for (auto const& run : worker.m_unreported)
+            if (run.m_queue)
+                beside.push_back({*run.m_queue, 1});
+        each.m_cost +=
+            m_interference->cost(request.m_queue, request.m_expected, beside);
+    }
 }
 
 auto worker_directory::soonest_available(time_point now,
@@ -194,7 +230,7 @@
 
 auto worker_directory::draw(std::span<placement_choice const> from,
                             duration expected, double relative_scale,
-                            random_source& random) -> placement_choice
+                            double fraction) -> placement_choice
 {
     auto const best = std::ranges::min(from, {}, &placement_choice::m_cost);
     auto const scale =
@@ -207,8 +243,7 @@
         weights.push_back(std::max(each.m_room, std::uint32_t{1}) *
                           std::exp(-excess / scale));
     }
-    auto left = random.fraction() *
-                std::accumulate(weights.begin(), weights.end(), 0.0);
+    auto left = fraction * std::accumulate(weights.begin(), weights.end(), 0.0);
     for (auto index = std::size_t{0}; index + 1 < from.size(); ++index)
     {
         left -= weights[index];
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -5,6 +5,7 @@
 #include "core/model/message.hpp"
 #include "core/model/random_source.hpp"
 #include "core/model/time.hpp"
+#include "core/placement/interference_estimate.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +32,7 @@
     /// Agents to exclude: the task failed there, or the step has reached its
     /// limit of tasks there.
     std::span<node_id const> m_avoided_agents;
+    queue_key m_queue = 0;
 };
 
 /// A worker chosen for a task.
@@ -63,6 +65,10 @@
 public:
     /// Factor on the run time of a task outside the rack with its data.
     auto set_spread_factor(double factor) -> void;
+    /// Prefers, among workers with room, those whose runs do not interfere.
+    auto separate_interfering_tasks() -> void;
+    /// Null unless interfering tasks are separated.
+    [[nodiscard]] auto interference() -> interference_estimate*;
 
     auto connected(node_id agent) -> void;
     auto disconnected(time_point now, node_id agent) -> void;
@@ -72,8 +78,9 @@
     /// Number for the next order to the agent, counted from 1 on each link.
     auto next_order(node_id agent) -> std::uint64_t;
     /// Adds a run that was ordered. It counts until a load includes it.
+    /// `queue` is none for a reservation.
     auto add_order(node_id agent, std::uint64_t order, resources const& needs,
-                   duration expected) -> void;
+                   duration expected, std::optional<queue_key> queue) -> void;
     /// Removes the runs of this order, the last one of the agent.
     auto remove_order(node_id agent, std::uint64_t order) -> void;
 
@@ -124,6 +131,7 @@
         std::uint64_t m_order = 0;
         resources m_needs;
         duration m_expected{0};
+        std::optional<queue_key> m_queue;
     };
 
     struct worker_state
@@ -148,10 +156,14 @@
                                   placement_request const& request,
                                   acceptance min_acceptance) const
         -> std::vector<placement_choice>;
-    /// Draws one of the choices at random, weighted by room and cost.
+    /// Draws one of the choices, weighted by room and cost. `fraction` is a
+    /// random number from 0 to 1.
     [[nodiscard]] static auto draw(std::span<placement_choice const> from,
                                    duration expected, double relative_scale,
-                                   random_source& random) -> placement_choice;
+                                   double fraction) -> placement_choice;
+    /// Adds the expected effects of interference to the costs.
+    auto add_interference(placement_request const& request,
+                          std::span<placement_choice> choices) const -> void;
     /// Free resources by the last load, less the orders since.
     [[nodiscard]] static auto free_room(worker_state const& worker)
         -> resources;
@@ -171,6 +183,7 @@
     };
 
     double m_spread_factor = 1.0;
+    std::optional<interference_estimate> m_interference;
     std::map<node_id, worker_state> m_workers;
     /// By the name of the worker.
     std::map<std::string, claim_candidate, std::less<>> m_claim_agents;
--- a/src/worker_model/leased_worker.cpp
+++ b/src/worker_model/leased_worker.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 leased_worker::leased_worker(leased_worker_settings settings)
-    : m_settings{settings}
+    : m_settings{std::move(settings)}
 {
 }
 
@@ -67,6 +67,7 @@
                           order.m_run_time) *
                       m_settings.m_run_time_factor);
     m_running.emplace(task, run);
+    update_slowdowns(now);
     return core::worker_answer::accepted;
 }
 
@@ -136,7 +137,9 @@
         }
         if (earliest == m_running.end())
             return;
+        auto const ended_at = earliest->second.m_ends_at;
         end_run(earliest, earliest->second.m_outcome);
+        update_slowdowns(ended_at);
     }
 }
 
@@ -228,6 +231,27 @@
                                 std::min(lease_until_ms, max_lease_until_ms));
 }
 
+auto leased_worker::update_slowdowns(core::time_point now) -> void
+{
+    if (!m_settings.m_slowdown)
+        return;
+    for (auto& [task, run] : m_running)
+    {
+        if (run.m_ends_at == core::never ||
+            run.m_outcome != core::run_outcome::succeeded)
+            continue;
+        auto slowdown = 1.0;
+        for (auto const& [other, beside] : m_running)
+            if (other != task)
+                slowdown *= m_settings.m_slowdown(task.first, other.first);
+        auto const left =
+            core::scaled(std::max(run.m_ends_at - now, core::duration{0}),
+                         slowdown / run.m_slowdown);
+        run.m_ends_at = now + left;
+        run.m_slowdown = slowdown;
+    }
+}
+
 auto leased_worker::end_run(std::map<task_key, run_state>::iterator run,
                             core::run_outcome outcome) -> void
 {
--- a/src/worker_model/leased_worker.hpp
+++ b/src/worker_model/leased_worker.hpp
@@ -8,8 +8,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -30,6 +32,9 @@
     double m_clock_rate = 1.0;
     /// Factor applied to the run time of each order.
     double m_run_time_factor = 1.0;
+    /// Factor by which a run of the first job is slowed down while a run of the
+    /// second one is beside it; empty if runs do not affect each other.
+    std::function<double(std::string_view, std::string_view)> m_slowdown;
 };
 
 /// Parameters of a start request.
@@ -92,12 +97,16 @@
         core::resources m_needs;
         core::time_point m_ends_at = core::never;
         core::run_outcome m_outcome = core::run_outcome::succeeded;
+        /// Factor of the runs beside it, included in `m_ends_at`.
+        double m_slowdown = 1.0;
     };
 
     [[nodiscard]] auto check_fencing_token(std::uint64_t fencing_token) -> bool;
     [[nodiscard]] auto lease_expires_at() const -> core::time_point;
     auto extend_lease(core::time_point now, std::int64_t lease_until_ms)
         -> void;
+    /// Adapts the ends of the runs to the runs beside them.
+    auto update_slowdowns(core::time_point now) -> void;
     auto end_run(std::map<task_key, run_state>::iterator run,
                  core::run_outcome outcome) -> void;
 
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -28,6 +28,21 @@
     return microseconds{std::stoll(order.m_body)};
 }
 
+auto names_queues(core::message const& message) -> bool
+{
+    if (auto const* order = std::get_if<core::order_runs>(&message))
+        return order->m_queue.has_value();
+    if (auto const* load = std::get_if<core::worker_load>(&message))
+        return load->m_running.has_value();
+    auto const* ends = std::get_if<core::runs_ended>(&message);
+    return ends != nullptr &&
+           std::ranges::any_of(ends->m_ends,
+                               [](core::run_end const& each)
+                               {
+                                   return each.m_beside.has_value();
+                               });
+}
+
 } // namespace
 
 auto make_job(std::string id, std::uint32_t tasks, core::duration declared,
@@ -67,14 +82,21 @@
     m_agents_choose_entries = true;
 }
 
+auto placement_world::separate_interfering_tasks() -> void
+{
+    m_separates_interfering_tasks = true;
+}
+
 auto placement_world::add_entry(std::string const& name,
                                 std::string const& domain) -> void
 {
     auto& added = m_entries[name];
     added.m_node = core::node_id{++m_last_node};
     added.m_domain = domain;
-    added.m_broker =
-        std::make_unique<core::broker>(core::broker_settings{name, {}, domain});
+    auto settings = core::broker_settings{name, {}, domain};
+    settings.m_placer.m_separates_interfering_tasks =
+        m_separates_interfering_tasks;
+    added.m_broker = std::make_unique<core::broker>(settings);
     for (auto& [worker, state] : m_workers)
     {
         if (!m_agents_choose_entries)
@@ -620,6 +642,10 @@
             return core::worker_answer::other_lifetime;
         auto const result = worker.m_worker->start(m_now, start);
         update_due(worker);
+        m_started_runs.push_back(std::to_string(m_now.count()) + " " +
+                                 worker.m_report.m_name + " " +
+                                 order.m_run.m_job_id + " " +
+                                 std::to_string(order.m_run.m_task.m_task));
         if (result == core::worker_answer::accepted)
             for (auto const& [name, other] : m_workers)
                 if (&other != &worker &&
@@ -788,6 +814,7 @@
                               core::message message) -> void
 {
     ++m_sent[std::string{core::message_name(message)}];
+    m_sent_with_queues += names_queues(message) ? 1 : 0;
     auto const is_from_entry = from < to;
     auto const key = is_from_entry ? link_key{from, to} : link_key{to, from};
     auto const& link = m_links[key];
@@ -857,6 +884,16 @@
     return total;
 }
 
+auto placement_world::started_runs() const -> std::vector<std::string> const&
+{
+    return m_started_runs;
+}
+
+auto placement_world::sent_with_queues() const -> unsigned
+{
+    return m_sent_with_queues;
+}
+
 auto placement_world::logged(std::string const& event) const -> unsigned
 {
     auto const found = m_logged.find(event);
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -50,6 +50,8 @@
 
     /// Must be called first. Otherwise every agent has a link to every entry.
     auto let_agents_choose_entries() -> void;
+    /// Must be called before entries are added.
+    auto separate_interfering_tasks() -> void;
     auto add_entry(std::string const& name, std::string const& domain = {})
         -> void;
     auto add_worker(std::string const& name,
@@ -106,10 +108,15 @@
     /// Starts that exceeded a worker's capacity.
     [[nodiscard]] auto overloads() const -> unsigned;
     [[nodiscard]] auto starts() const -> unsigned;
+    /// All starts in their order, each with its time, worker, job and task.
+    [[nodiscard]] auto started_runs() const -> std::vector<std::string> const&;
     /// Number of log lines with this event.
     [[nodiscard]] auto logged(std::string const& event) const -> unsigned;
     /// Number of messages of this type that were sent on all links.
     [[nodiscard]] auto sent(std::string const& type) const -> unsigned;
+    /// Number of messages that name queues, which only the separation of
+    /// interfering tasks needs.
+    [[nodiscard]] auto sent_with_queues() const -> unsigned;
     /// Number of agents with an open link to the entry.
     [[nodiscard]] auto links_of(std::string const& entry) const -> unsigned;
 
@@ -203,6 +210,8 @@
     std::map<core::node_id, worker_state*> m_by_node;
     std::map<link_key, link_state> m_links;
     bool m_agents_choose_entries = false;
+    bool m_separates_interfering_tasks = false;
+    std::vector<std::string> m_started_runs;
     std::uint64_t m_last_node = 0;
     core::exchange_id m_last_exchange = 0;
     std::map<core::exchange_id, std::pair<std::string, core::time_point>>
@@ -211,6 +220,7 @@
     std::map<std::string, unsigned> m_logged;
     std::map<std::string, unsigned, std::less<>> m_sent;
     unsigned m_double_runs = 0;
+    unsigned m_sent_with_queues = 0;
 };
 
 /// A job of one step. Tasks declare `declared` and take `actual`.
