Add the setting that separates interfering tasks

Like the other placement settings it is not part of the settings file of hickorylatch serve, which has no step jobs. An agent accepts the option without effect: it follows the orders.

--- a/src/hickorylatch/host_command.cpp
+++ b/src/hickorylatch/host_command.cpp
@@ -33,7 +33,11 @@
         cxxopts::value<std::string>()->default_value(""), "IP")(
         "durable-jobs",
         "lets an entry accept jobs that must survive it; without this they "
-        "are refused")("h,help", "print this text");
+        "are refused")(
+        "separate-interfering-tasks",
+        "lets an entry or the leader prefer workers whose runs do not slow a "
+        "task down; agents follow what the orders ask for")("h,help",
+                                                            "print this text");
     options.parse_positional({"duty"});
     options.positional_help("entry|control|agent");
     return options;
@@ -89,7 +93,8 @@
         if (!duty)
             return fail("the duty is none of entry, control and agent");
         run_and_exit({*duty, parsed["listen-ip"].as<std::string>(),
-                      parsed.count("durable-jobs") > 0});
+                      parsed.count("durable-jobs") > 0,
+                      parsed.count("separate-interfering-tasks") > 0});
     }
     catch (std::exception const& error)
     {
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -44,7 +44,14 @@
     BOOST_LEAF_AUTO(host, source.read());
     BOOST_LEAF_AUTO(settings, to_process_settings(host, assigned_duty));
     if (settings.m_broker)
+    {
         settings.m_broker->m_takes_durable_jobs = options.m_takes_durable_jobs;
+        settings.m_broker->m_placement.m_separate_interfering_tasks =
+            options.m_separates_interfering_tasks;
+    }
+    if (settings.m_control)
+        settings.m_control->m_placement.m_separate_interfering_tasks =
+            options.m_separates_interfering_tasks;
     BOOST_LEAF_AUTO(host_process, process::process::open(std::move(settings)));
     auto clients = std::unique_ptr<clients_api>{};
     auto operators = std::unique_ptr<operators_api>{};
--- a/src/platform/host.hpp
+++ b/src/platform/host.hpp
@@ -16,6 +16,9 @@
     std::string m_listen_ip;
     /// The entry accepts jobs that must survive a failure of the entry.
     bool m_takes_durable_jobs = false;
+    /// Entries, and the leader for durable jobs, prefer workers whose runs do
+    /// not interfere with a task.
+    bool m_separates_interfering_tasks = false;
 };
 
 /// Runs one process of the system on a machine of the platform until SIGTERM.
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -113,6 +113,8 @@
     result.m_spread_factor = placement.m_spread_factor;
     result.m_lease = std::chrono::milliseconds{placement.m_lease_ms};
     result.m_loads_per_s = placement.m_loads_per_s;
+    result.m_separates_interfering_tasks =
+        placement.m_separate_interfering_tasks;
     return result;
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -65,6 +65,9 @@
     /// Maximum rate of load messages from all agents, per second. Limits the
     /// processor time spent on them.
     std::uint32_t m_loads_per_s = 3'000;
+    /// Prefers, among workers with room, those whose runs do not slow the task
+    /// down and are not slowed down by it.
+    bool m_separate_interfering_tasks = false;
 };
 
 /// The control role: one replica of the replicated state.
