--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/agent_health.hpp"
 #include "core/model/effect.hpp"
 #include "core/placement/claim_table.hpp"
+#include "core/placement/concurrent_runs.hpp"
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/known_evacuations.hpp"
 #include "core/placement/link_targets.hpp"
@@ -241,6 +242,7 @@
     time_point m_strays_stopped_at{0};
     agent_health m_health;
     slowness_estimate m_slowness;
+    concurrent_runs m_concurrent_runs;
     /// Needs of the last run or reservation; load reports forecast the wait of
     /// another one like it.
     resources m_last_needs;
--- a/src/core/placement/live_run.hpp
+++ b/src/core/placement/live_run.hpp
@@ -5,6 +5,7 @@
 #include "core/model/job.hpp"
 #include "core/model/time.hpp"
 #include "core/model/verdict.hpp"
+#include "core/placement/concurrent_runs.hpp"
 #include "core/placement/run_queue.hpp"
 
 #include <cstddef>
@@ -59,6 +60,7 @@
     /// the lease of its start had expired. It may have started before.
     time_point m_revoked_at = never;
     time_point m_stop_retry_at = never;
+    run_concurrency m_concurrency;
 };
 
 /// Time after its start at which the run counts as hung. `slowness` is the
--- a/src/core/placement/requester.hpp
+++ b/src/core/placement/requester.hpp
@@ -31,6 +31,8 @@
     /// Newest configuration that it was notified of on this link.
     configuration_version m_notified_version = 0;
     std::uint64_t m_last_order = 0;
+    /// Its orders name the queues of their jobs.
+    bool m_names_queues = false;
     load_report_schedule m_load_schedule;
     /// Its runs may continue until then.
     time_point m_contact_until{0};
