Tell the runner of durable jobs which failure domains are evacuated

The leader places durable jobs with the same placer as entries. Without the set it ordered them in evacuated domains, where agents refused them and they were placed again. The runner takes over the set when a replica begins to lead and at each change.

--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -711,6 +711,8 @@
         return;
     m_job_runner = std::make_unique<job_runner>(
         m_settings.m_jobs, m_state.jobs(), context.m_now, m_replica.term());
+    m_job_runner->set_evacuations(context.m_now, m_state.evacuated().m_current,
+                                  context.m_random, context.m_out);
     for (auto const& [node, peer] : m_peers)
         if (peer.m_role == role::agent)
             m_job_runner->connected(node, context.m_out);
--- a/src/core/roles/control_evacuations.cpp
+++ b/src/core/roles/control_evacuations.cpp
@@ -43,6 +43,9 @@
                   {"domains", domains_field(current)}}});
     for (auto const& [node, peer] : m_peers)
         send_evacuations(context, peer);
+    if (m_job_runner)
+        m_job_runner->set_evacuations(context.m_now, current, context.m_random,
+                                      context.m_out);
 }
 
 auto control::send_evacuations(control_context const& context,
