--- a/tests/core/jobs/test_job_runner.cpp
+++ b/tests/core/jobs/test_job_runner.cpp
@@ -74,6 +74,7 @@
         announcement.m_worker.m_incarnation = 1;
         announcement.m_worker.m_service = "desk";
         announcement.m_worker.m_capacity = {8'000, 1'024, 0};
+        announcement.m_failure_domain = "klang";
         announcement.m_runs = std::move(runs);
         receive(node, announcement);
         auto load = core::worker_load{};
@@ -344,3 +345,21 @@
     }
     BOOST_TEST(leader.ordered_runs(agent).size() == 6U);
 }
+
+// Guards against runs of durable jobs that are ordered in an evacuated failure
+// domain, and against jobs that stay there unplaced after its restore.
+BOOST_AUTO_TEST_CASE(durable_jobs_wait_for_the_restore_of_a_domain)
+{
+    auto leader = test_leader{};
+    leader.add_agent(agent);
+    leader.m_runner.set_evacuations(leader.m_now, {11, {"klang"}},
+                                    leader.m_random, leader.m_out);
+    leader.accept("a", 1);
+    BOOST_TEST(leader.ordered_runs(agent).empty());
+    leader.m_runner.set_evacuations(leader.m_now, {12, {}}, leader.m_random,
+                                    leader.m_out);
+    leader.m_now += milliseconds{50};
+    leader.announce(agent, {});
+    leader.m_runner.tick(leader.m_now, leader.m_random, leader.m_out);
+    BOOST_TEST(leader.ordered_runs(agent).size() == 1U);
+}
