Combine reads of the configuration that wait for a confirmed leader

Only one read is in progress now; requests that arrive meanwhile share the next one, because a read must return what was acknowledged before the request. A request may therefore wait for an earlier read that has no leader, at most 0.9 s, in addition to its own 0.9 s.

--- a/src/platform/operators_api.cpp
+++ b/src/platform/operators_api.cpp
@@ -48,7 +48,7 @@
     if (request.m_path == configuration_path && request.m_method == "PUT")
         install(request);
     else if (request.m_path == configuration_path && request.m_method == "GET")
-        submit_operation(request, core::read_configuration{});
+        read(request);
     else
         send(request.m_exchange, 503, "{}");
 }
@@ -82,6 +82,19 @@
         });
 }
 
+auto operators_api::read(net::http_request const& request) -> void
+{
+    if (m_reads.add(request.m_exchange))
+        start_read();
+}
+
+auto operators_api::start_read() -> void
+{
+    m_read_operation = m_process.allocate_exchange_id();
+    m_process.handle_event(
+        core::operation_arrived{m_read_operation, core::read_configuration{}});
+}
+
 auto operators_api::submit_operation(net::http_request const& request,
                                      core::operation operation) -> void
 {
@@ -93,12 +106,31 @@
 
 auto operators_api::answer(core::reply_operator const& reply) -> void
 {
+    if (reply.m_exchange == m_read_operation)
+    {
+        m_read_operation = 0;
+        for (auto const exchange : m_reads.take_answered())
+            answer(exchange, reply.m_result);
+        // Not from within the effects of an event.
+        if (m_reads.start_next())
+            m_process.loop().post(
+                [this]
+                {
+                    start_read();
+                });
+        return;
+    }
     auto const found = m_pending_exchanges.find(reply.m_exchange);
     if (found == m_pending_exchanges.end())
         return;
     auto const exchange = found->second;
     m_pending_exchanges.erase(found);
-    auto const& result = reply.m_result;
+    answer(exchange, reply.m_result);
+}
+
+auto operators_api::answer(core::exchange_id exchange,
+                           core::operate_result const& result) -> void
+{
     auto const has_result = result.m_verdict.m_run == core::run_state::ran;
     // Version 0: no configuration has been installed yet.
     if (!has_result || result.m_version == 0)
--- a/src/platform/operators_api.hpp
+++ b/src/platform/operators_api.hpp
@@ -3,6 +3,7 @@
 
 #include "net/http_message.hpp"
 #include "net/http_server.hpp"
+#include "platform/configuration_reads.hpp"
 #include "process/process.hpp"
 
 #include <boost/leaf/result.hpp>
@@ -32,9 +33,13 @@
 
     auto handle(net::http_request const& request) -> void;
     auto install(net::http_request const& request) -> void;
+    auto read(net::http_request const& request) -> void;
+    auto start_read() -> void;
     auto submit_operation(net::http_request const& request,
                           core::operation operation) -> void;
     auto answer(core::reply_operator const& reply) -> void;
+    auto answer(core::exchange_id exchange, core::operate_result const& result)
+        -> void;
     auto send(core::exchange_id exchange, std::uint16_t status,
               std::string_view body) -> void;
 
@@ -43,6 +48,9 @@
     /// Exchanges of the server by the exchange id of their operation.
     std::unordered_map<core::exchange_id, core::exchange_id>
         m_pending_exchanges;
+    configuration_reads m_reads;
+    /// Operation of the read in progress; 0 for none.
+    core::exchange_id m_read_operation = 0;
 };
 
 } // namespace hickorylatch::platform
