Enforce the bounds on connections before other events are handled

Two effects let a process hold much more than the bound:

- Within one loop iteration every connection can receive 16 KiB, of which parsed headers take 33 times as much memory.
The bounds are now enforced by an event of a higher priority, right after the callback that exceeded them.
- libevent frees the stream of a closed connection in a later iteration.

The case large_response now loads the leader, and large_response_at_follower another process; before, the case took the first process, whatever its role. Bounds and crowd are unchanged.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -56,7 +56,7 @@
     event_config_set_flag(configuration.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     event_config_set_flag(configuration.get(), EVENT_BASE_FLAG_NO_CACHE_TIME);
     m_base.reset(event_base_new_with_config(configuration.get()));
-    if (!m_base)
+    if (!m_base || event_base_priority_init(m_base.get(), 2) != 0)
         throw std::bad_alloc{};
     auto const wake = [](evutil_socket_t, short, void* self)
     {
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -26,6 +26,10 @@
 };
 using event_base_handle = std::unique_ptr<event_base, event_base_deleter>;
 
+/// Priority of events that are handled right after the current callback, before
+/// others that are due. Other events have the default priority.
+inline constexpr auto urgent_priority = 0;
+
 /// The one libevent base of a process. Everything in this library runs on the
 /// thread that calls `run()`, except where a comment says otherwise.
 class event_loop
--- a/src/net/evhttp_connection.cpp
+++ b/src/net/evhttp_connection.cpp
@@ -97,6 +97,18 @@
     return event_callback == nullptr;
 }
 
+auto free_connection(evhttp_connection* connection) -> void
+{
+    // libevent frees the stream in a later loop iteration. Until then the
+    // unsent bytes of many connections could exceed the memory of the process.
+    auto* const output =
+        bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    evbuffer_unfreeze(output, 1);
+    evbuffer_drain(output, evbuffer_get_length(output));
+    evbuffer_freeze(output, 1);
+    evhttp_connection_free(connection);
+}
+
 auto trigger_timeout(bufferevent* connection) -> void
 {
     // The stream may be kept by a reference for some time, but not its input.
@@ -105,7 +117,7 @@
     auto* const input = bufferevent_get_input(connection);
     evbuffer_drain(input, evbuffer_get_length(input));
     bufferevent_trigger_event(connection, BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
-                              BEV_TRIG_DEFER_CALLBACKS);
+                              0);
 }
 
 } // namespace hickorylatch::net
--- a/src/net/evhttp_connection.hpp
+++ b/src/net/evhttp_connection.hpp
@@ -23,8 +23,12 @@
 
 [[nodiscard]] auto is_freed_by_evhttp(bufferevent* connection) -> bool;
 
-/// Makes evhttp close a connection that has not sent a complete request, in a
-/// later loop iteration. Drops its input at once.
+/// Closes a connection and drops its unsent bytes at once. Must not be called
+/// from a callback of this connection.
+auto free_connection(evhttp_connection* connection) -> void;
+
+/// Makes evhttp close a connection that has not sent a complete request. Must
+/// not be called from a callback of this connection.
 auto trigger_timeout(bufferevent* connection) -> void;
 
 } // namespace hickorylatch::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -92,20 +92,23 @@
                          handler handle)
     : m_loop{loop}, m_settings{std::move(settings)}, m_handler{std::move(
                                                          handle)},
-      m_http{evhttp_new(loop.base())}, m_check{loop,
-                                               [this]
+      m_http{evhttp_new(loop.base())}, m_check{loop, [this]
                                                {
                                                    check_connections();
-                                               }},
-      m_enforcement{loop, [this]
-                    {
-                        enforce_bounds();
-                    }}
+                                               }}
 {
     if (!m_http)
         throw std::bad_alloc{};
     if (!m_settings.m_ledger)
         m_settings.m_ledger = std::make_shared<connection_ledger>();
+    auto const enforce = [](evutil_socket_t, short, void* self)
+    {
+        static_cast<http_server*>(self)->enforce_bounds();
+    };
+    m_enforcement.reset(event_new(loop.base(), -1, 0, enforce, this));
+    if (!m_enforcement)
+        throw std::bad_alloc{};
+    event_priority_set(m_enforcement.get(), urgent_priority);
     m_close_requested = m_settings.m_ledger->close_requested().connect(
         [this](connection_closing closing)
         {
@@ -491,13 +494,12 @@
     for (auto const& [connection, cause] : closings)
     {
         m_settings.m_ledger->count_closed(cause);
-        evhttp_connection_free(connection);
+        free_connection(connection);
     }
 }
 
 auto http_server::enforce_bounds() -> void
 {
-    m_is_enforcement_due = false;
     m_unopened = 0;
     for (auto const& pending : m_pending)
     {
@@ -512,8 +514,7 @@
 
 auto http_server::enforce_bounds_later() -> void
 {
-    if (!std::exchange(m_is_enforcement_due, true))
-        m_enforcement.start(core::duration{0});
+    event_active(m_enforcement.get(), 0, 0);
 }
 
 auto http_server::make_room(std::size_t bytes) -> bool
@@ -533,7 +534,13 @@
     auto const pending =
         std::ranges::find_if(m_pending, has_id, &pending_connection::m_account);
     if (pending != m_pending.end())
-        return trigger_timeout(pending->m_account->stream());
+    {
+        auto* const stream = pending->m_account->stream();
+        trigger_timeout(stream);
+        if (is_freed_by_evhttp(stream))
+            m_pending.erase(pending);
+        return;
+    }
     auto const found =
         std::ranges::find_if(m_connections,
                              [&](auto const& item)
@@ -541,7 +548,7 @@
                                  return has_id(item.second.m_account);
                              });
     if (found != m_connections.end())
-        evhttp_connection_free(found->first);
+        free_connection(found->first);
 }
 
 auto http_server::update_listeners() -> void
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -153,8 +153,9 @@
     std::size_t m_served_count = 0;
     std::size_t m_sending_count = 0;
     timer m_check;
-    timer m_enforcement;
-    bool m_is_enforcement_due = false;
+    /// Calls `enforce_bounds` before other events are handled. Within one loop
+    /// iteration, many connections could receive far more than the bound.
+    event_handle m_enforcement;
     /// Accepted connections that are not in the ledger yet.
     std::size_t m_unopened = 0;
     sigc::connection m_close_requested;
--- a/tests/system/untrusted_clients.py
+++ b/tests/system/untrusted_clients.py
@@ -60,10 +60,12 @@
 CONTROL_METRICS_PORT = 9465
 AGENT_METRICS_PORT = 9466
 
-# `ask` checks that an ordinary request is answered while the load goes on.
+# With `asks_during_load`, an ordinary request must also be answered while the
+# load goes on. `at_leader` chooses between the leader and another control
+# process.
 Case = collections.namedtuple(
-    "Case", "duty port load content asks_during_load",
-    defaults=(False,))
+    "Case", "duty port load content asks_during_load at_leader",
+    defaults=(False, None))
 
 
 def request(path, headers=(), method="GET"):
@@ -110,7 +112,11 @@
     "one_silent_address": Case("entry", deployment.CLIENTS_PORT, "reopen",
                                b"", True),
     "large_response": Case("control", deployment.CONTROL_PORT, "large",
-                           request("/api/config") * LARGE_RESPONSES_EACH),
+                           request("/api/config") * LARGE_RESPONSES_EACH,
+                           at_leader=True),
+    "large_response_at_follower": Case(
+        "control", deployment.CONTROL_PORT, "large",
+        request("/api/config") * LARGE_RESPONSES_EACH, at_leader=False),
 }
 
 
@@ -284,6 +290,8 @@
         if not await self.wait_until_ready():
             self.failures.append("the deployment did not become ready")
             return
+        if self.case.at_leader is not None:
+            await self.choose_control()
         pid = self.target.child.pid
         sampler = Sampler(pid)
         sampler.start()
@@ -326,6 +334,15 @@
             await asyncio.sleep(0.2)
         return False
 
+    async def choose_control(self):
+        for control in self.system.with_duty("control"):
+            connection = wire.Connection(control.machine.listen_ip,
+                                         CONTROL_METRICS_PORT)
+            _, _, body = await connection.exchange("GET", "/metrics")
+            connection.close()
+            if (b"\nhickorylatch_is_leader 1" in body) == self.case.at_leader:
+                self.target = control
+
     async def submit_job(self, host, limit_s):
         job = Job(self.next_job, 1, 30, 1000, False)
         self.next_job += 1
