--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -355,7 +355,7 @@
 {
     auto const server_index = m_servers.size();
     auto server = std::make_unique<net::http_server>(
-        m_loop, limits,
+        m_loop, std::move(limits),
         [this, server_index, client](net::http_request const& request)
         {
             auto& target = *m_servers[server_index];
