Release the clients of an entry that has lost all its workers

Cause: an entry that is cut off from all agents reports that it is not ready, so it gets no new connections, but clients keep using the open ones.

Change: with `entry.releases_callers_when_isolated` (on the platform where `contracts` contains "health"; default off), an entry that has had no usable worker for 300 ms closes idle connections once, and its responses carry "Connection: close" until a worker is usable again. A lost link that is reopened within 0.1 s does not count. The policy is `isolation_watch`; contact is also checked every 300 ms, because agents that fall silent cause no event. It does not apply before the first worker, while all known workers are evacuated, or if all have left and a control replica can be reached. An agent whose link closes while its worker accepts runs counts as lost, not as left.

The response header is chosen where responses are written, from the state of the broker, so that every response of the entry carries it.

With a watch that never acts, five of the nine new cases fail (16 checks): for example an_entry_that_is_cut_off_releases_its_callers has no idle connections closed (0, expected 1). Without the line in the platform's settings, the_health_contract_enables_the_release_of_callers fails. The other four cases require that nothing happens and also pass without the change. They fail with a watch that releases callers at once whenever no worker is usable.

With the change the test programs of core/placement, settings, platform and observe pass.

--- a/src/core/placement/broker.cpp
+++ b/src/core/placement/broker.cpp
@@ -42,7 +42,8 @@
                .m_name = settings.m_name,
                .m_control_limit = followed_replicas}},
       m_configuration{std::move(settings.m_name)}, m_placer{settings.m_placer},
-      m_startup{settings.m_awaits_workers_after_start}
+      m_startup{settings.m_awaits_workers_after_start},
+      m_isolation{settings.m_releases_callers_when_isolated}
 {
 }
 
@@ -65,6 +66,7 @@
 {
     m_links.closed(now, peer);
     m_links.update(now, out);
+    m_isolation.lost_agent(m_placer.workers().is_accepting(peer));
     m_placer.disconnected(now, peer);
     m_requests.disconnected(peer, out);
     m_configuration.disconnected(now, peer, out);
@@ -589,6 +591,8 @@
     m_placer.tick(now, random, out);
     static_cast<void>(m_placer.take_lost_agents());
     process_outcomes(now, random, out);
+    m_isolation.observe(now, m_placer.workers().contact(now),
+                        m_requests.is_connected(), out);
 }
 
 auto broker::replace_seeds(time_point now,
@@ -613,6 +617,11 @@
            m_placer.workers().has_any_usable(now);
 }
 
+auto broker::releases_callers() const -> bool
+{
+    return m_isolation.releases_callers();
+}
+
 auto broker::is_idle(time_point now) const -> bool
 {
     return now >= m_refuse_at && is_empty();
@@ -629,7 +638,8 @@
     auto first =
         std::min({m_placer.next_deadline(), m_requests.next_deadline(),
                   m_links.next_deadline(), m_configuration.next_deadline(),
-                  m_claims.next_deadline(), m_close_idle_at});
+                  m_claims.next_deadline(), m_isolation.next_deadline(),
+                  m_close_idle_at});
     if (!m_held.empty())
         first = std::min(first, m_startup.next_attempt());
     if (m_refuse_at != never && m_close_idle_at == never && is_empty())
--- a/src/core/placement/broker.hpp
+++ b/src/core/placement/broker.hpp
@@ -7,6 +7,7 @@
 #include "core/placement/configuration_copy.hpp"
 #include "core/placement/control_requests.hpp"
 #include "core/placement/held_jobs.hpp"
+#include "core/placement/isolation_watch.hpp"
 #include "core/placement/job_claims.hpp"
 #include "core/placement/known_evacuations.hpp"
 #include "core/placement/link_targets.hpp"
@@ -37,6 +38,8 @@
     /// Holds jobs that would be late while the set of workers grows after the
     /// start.
     bool m_awaits_workers_after_start = false;
+    /// Releases clients while no worker can be reached.
+    bool m_releases_callers_when_isolated = false;
 };
 
 /// Accepts step jobs. It places jobs that are not durable on workers through
@@ -70,6 +73,9 @@
 
     /// True if load balancers may send clients here.
     [[nodiscard]] auto is_ready(time_point now) const -> bool;
+    /// True if responses must close their connections, so that clients move to
+    /// another entry.
+    [[nodiscard]] auto releases_callers() const -> bool;
     /// True once a stop was requested and every job is answered.
     [[nodiscard]] auto is_idle(time_point now) const -> bool;
     [[nodiscard]] auto next_deadline() const -> time_point;
@@ -151,6 +157,7 @@
     std::map<exchange_id, std::uint64_t> m_jobs_by_exchange;
     std::map<std::uint64_t, std::vector<exchange_id>> m_callers;
     startup_admission m_startup;
+    isolation_watch m_isolation;
     /// Jobs that arrived before this process could serve, or that would be late
     /// at the workers that it knew after its start.
     held_jobs m_held;
--- a/src/core/placement/control_requests.cpp
+++ b/src/core/placement/control_requests.cpp
@@ -14,6 +14,11 @@
             send_to_next(sequence, pending, out);
 }
 
+auto control_requests::is_connected() const -> bool
+{
+    return !m_replicas.empty();
+}
+
 auto control_requests::disconnected(node_id replica, effects& out) -> void
 {
     m_replicas.erase(replica);
--- a/src/core/placement/control_requests.hpp
+++ b/src/core/placement/control_requests.hpp
@@ -46,6 +46,8 @@
     [[nodiscard]] auto expire(time_point now) -> std::vector<control_request>;
 
     [[nodiscard]] auto size() const -> std::size_t;
+    /// True if a control replica can be reached.
+    [[nodiscard]] auto is_connected() const -> bool;
     [[nodiscard]] auto next_deadline() const -> time_point;
 
 private:
--- a/src/core/placement/worker_directory.cpp
+++ b/src/core/placement/worker_directory.cpp
@@ -150,10 +150,37 @@
 
 auto worker_directory::is_usable(time_point now,
                                  worker_state const& worker) const -> bool
+{
+    return is_accepting(worker) && now - worker.m_updated_at < load_timeout;
+}
+
+auto worker_directory::is_accepting(worker_state const& worker) const -> bool
 {
     return worker.m_is_announced &&
-           worker.m_load.m_accepts != acceptance::none &&
-           now - worker.m_updated_at < load_timeout && !is_evacuated(worker);
+           worker.m_load.m_accepts != acceptance::none && !is_evacuated(worker);
+}
+
+auto worker_directory::is_accepting(node_id agent) const -> bool
+{
+    auto const found = m_workers.find(agent);
+    return found != m_workers.end() && is_accepting(found->second);
+}
+
+auto worker_directory::contact(time_point now) const -> worker_contact
+{
+    if (has_any_usable(now))
+        return worker_contact::usable;
+    auto known = std::size_t{0};
+    auto evacuated = std::size_t{0};
+    for (auto const& [agent, worker] : m_workers)
+    {
+        if (is_accepting(worker))
+            return worker_contact::silent;
+        known += worker.m_is_announced ? 1 : 0;
+        evacuated += is_evacuated(worker) ? 1 : 0;
+    }
+    return known != 0 && known == evacuated ? worker_contact::evacuated
+                                            : worker_contact::departed;
 }
 
 auto worker_directory::choose(time_point now, placement_request const& request,
--- a/src/core/placement/worker_directory.hpp
+++ b/src/core/placement/worker_directory.hpp
@@ -7,6 +7,7 @@
 #include "core/model/random_source.hpp"
 #include "core/model/time.hpp"
 #include "core/placement/interference_estimate.hpp"
+#include "core/placement/worker_contact.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -107,6 +108,10 @@
     [[nodiscard]] auto has_usable(time_point now,
                                   std::string_view service) const -> bool;
     [[nodiscard]] auto has_any_usable(time_point now) const -> bool;
+    [[nodiscard]] auto contact(time_point now) const -> worker_contact;
+    /// True if the agent's worker accepted runs by its last load, however old,
+    /// and is not evacuated.
+    [[nodiscard]] auto is_accepting(node_id agent) const -> bool;
     [[nodiscard]] auto is_evacuated(node_id agent) const -> bool;
     /// True if some worker could run tasks of the step, but only workers in
     /// evacuated failure domains. Counts workers that are not usable now but
@@ -160,6 +165,7 @@
     [[nodiscard]] auto is_evacuated(worker_state const& worker) const -> bool;
     [[nodiscard]] auto is_usable(time_point now,
                                  worker_state const& worker) const -> bool;
+    [[nodiscard]] auto is_accepting(worker_state const& worker) const -> bool;
     /// True if the worker has the service, the capacity and the label.
     [[nodiscard]] static auto is_suitable(worker_state const& worker,
                                           std::string_view service,
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -332,4 +332,9 @@
            (!target.m_broker || target.m_broker->is_ready(now));
 }
 
+auto releases_callers(node const& target) -> bool
+{
+    return target.m_broker && target.m_broker->releases_callers();
+}
+
 } // namespace hickorylatch::core
--- a/src/core/roles/node.hpp
+++ b/src/core/roles/node.hpp
@@ -45,6 +45,8 @@
 /// True if a load balancer may send callers here: the node is not stopping, its
 /// entry holds a valid lease, and its broker has a configuration and a worker.
 [[nodiscard]] auto is_ready(node const& target, time_point now) -> bool;
+/// True if responses to clients must close their connections.
+[[nodiscard]] auto releases_callers(node const& target) -> bool;
 
 } // namespace hickorylatch::core
 
--- a/src/observe/metric_definition.cpp
+++ b/src/observe/metric_definition.cpp
@@ -15,6 +15,11 @@
      counter,
      "Bytes sent and received on links between processes.",
      {"direction"}},
+    {"hickorylatch_callers_released",
+     gauge,
+     "1 while an entry without contact to workers closes clients' "
+     "connections.",
+     {}},
     {"hickorylatch_client_bytes",
      gauge,
      "Bytes held for HTTP connections.",
--- a/src/platform/clients_api.cpp
+++ b/src/platform/clients_api.cpp
@@ -203,6 +203,8 @@
         headers.emplace_back("Retry-After",
                              std::to_string((retry_after_ms + 999) / 1000));
     }
+    if (core::releases_callers(m_process.node()))
+        headers.emplace_back("Connection", "close");
     m_clients_server->answer(exchange, status, headers, body);
 }
 
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -294,7 +294,8 @@
             m_settings.m_name, seeds, m_settings.m_failure_domain,
             to_placer_settings(broker->m_placement),
             broker->m_takes_durable_jobs,
-            broker->m_sparse.m_awaits_workers_after_start});
+            broker->m_sparse.m_awaits_workers_after_start,
+            broker->m_sparse.m_releases_callers_when_isolated});
     }
     if (auto const& executor = m_settings.m_executor)
         m_node.m_executor.emplace(core::executor_settings{
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -181,6 +181,8 @@
     in.read("header_timeout_ms", out.m_header_timeout_ms);
     in.read("awaits_workers_after_start",
             out.m_sparse.m_awaits_workers_after_start);
+    in.read("releases_callers_when_isolated",
+            out.m_sparse.m_releases_callers_when_isolated);
     in.object().reject_unknown_keys();
     auto const highest = frame_limit - frame_overhead_bytes;
     if (out.m_body_limit_bytes > highest)
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -45,6 +45,9 @@
     /// Holds jobs that would be late while links to more workers open after the
     /// start. Default: false.
     bool m_awaits_workers_after_start = false;
+    /// Closes clients' connections while no worker can be reached. Default:
+    /// false.
+    bool m_releases_callers_when_isolated = false;
 };
 
 /// The entry role: callers' HTTP requests and operators' records.
--- a/src/settings/settings_field.cpp
+++ b/src/settings/settings_field.cpp
@@ -202,6 +202,15 @@
      "the start; applies to entries that place step jobs themselves (`host "
      "entry`)",
      {}},
+    {"entry.releases_callers_when_isolated",
+     flag,
+     optional,
+     "false",
+     "",
+     "Closes clients' connections while the entry has lost contact with all "
+     "workers; applies to entries that place step jobs themselves (`host "
+     "entry`)",
+     {}},
 
     {"control",
      section,
--- a/tests/core/placement/placement_world.cpp
+++ b/tests/core/placement/placement_world.cpp
@@ -532,6 +532,11 @@
     report(state);
 }
 
+auto placement_world::idle_closings() const -> unsigned
+{
+    return m_idle_closings;
+}
+
 auto placement_world::links_of(std::string const& entry) const -> unsigned
 {
     auto const node = m_entries.at(entry).m_node;
@@ -607,6 +612,8 @@
             m_answers[done->m_exchange] = {
                 done->m_verdict, done->m_state, m_now,
                 m_now - m_submitted.at(done->m_exchange).second};
+        else if (std::holds_alternative<core::close_idle_callers>(effect))
+            ++m_idle_closings;
         else if (auto* const worker = find_worker(from))
             execute(*worker, effect);
     }
--- a/tests/core/placement/placement_world.hpp
+++ b/tests/core/placement/placement_world.hpp
@@ -126,6 +126,8 @@
     /// Number of messages that name queues, which only the separation of
     /// interfering tasks needs.
     [[nodiscard]] auto sent_with_queues() const -> unsigned;
+    /// How often entries closed their idle callers' connections.
+    [[nodiscard]] auto idle_closings() const -> unsigned;
     /// Number of agents with an open link to the entry.
     [[nodiscard]] auto links_of(std::string const& entry) const -> unsigned;
 
@@ -231,6 +233,7 @@
     std::map<std::string, unsigned, std::less<>> m_sent;
     unsigned m_double_runs = 0;
     unsigned m_sent_with_queues = 0;
+    unsigned m_idle_closings = 0;
 };
 
 /// A job of one step. Tasks declare `declared` and take `actual`.
--- a/tests/platform/test_settings.cpp
+++ b/tests/platform/test_settings.cpp
@@ -111,6 +111,24 @@
     BOOST_TEST(waits("contracts = [\"jobs\",\"health\"]\n"));
 }
 
+// Guards against entries that close connections in deployments that do not rely
+// on what an entry reports about itself.
+BOOST_AUTO_TEST_CASE(the_health_contract_enables_the_release_of_callers)
+{
+    auto const releases = [](std::string const& contracts)
+    {
+        auto const host = parse_settings(contracts + example_text);
+        BOOST_REQUIRE_MESSAGE(host.m_value, host.m_error);
+        auto const entry = convert(*host.m_value, platform::duty::entry);
+        BOOST_REQUIRE_MESSAGE(entry.m_value, entry.m_error);
+        auto const& sparse = entry.m_value->m_broker->m_sparse;
+        return sparse.m_releases_callers_when_isolated;
+    };
+    BOOST_TEST(!releases(""));
+    BOOST_TEST(!releases("contracts = [\"jobs\"]\n"));
+    BOOST_TEST(releases("contracts = [\"jobs\",\"health\"]\n"));
+}
+
 BOOST_AUTO_TEST_CASE(platform_settings_are_translated)
 {
     auto const host = parse_settings(example_text);
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -84,6 +84,8 @@
     check("agent.call_timeout_ms", read.m_agent->m_call_timeout_ms);
     BOOST_TEST(!read.m_entry->m_sparse.m_awaits_workers_after_start);
     BOOST_TEST(default_at("entry.awaits_workers_after_start") == "false");
+    BOOST_TEST(!read.m_entry->m_sparse.m_releases_callers_when_isolated);
+    BOOST_TEST(default_at("entry.releases_callers_when_isolated") == "false");
     BOOST_TEST(read.m_control->m_fsync);
     BOOST_TEST(read.m_agent->m_slots == 16U);
     BOOST_TEST(read.m_agent->m_service == core::worker_service);
