--- a/tests/system/untrusted_clients.py
+++ b/tests/system/untrusted_clients.py
@@ -261,7 +261,8 @@
         for machine in self.system.machines:
             machine.ip = machine.listen_ip
         self.workers = [
-            Worker("i-" + each.name, each.listen_ip, deployment.WORKER_PORT,
+            Worker("i-" + each.name, each.failure_domain, each.listen_ip,
+                   deployment.WORKER_PORT,
                    (each.listen_ip, deployment.CONTROL_PORT), self.checker,
                    16_000, random.Random(1))
             for each in self.system.machines if each.is_worker]
