--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""An entry stands still while a worker restarts as one of another kind."""
+"""A client cancels a job whose queue a change has removed meanwhile."""
 
 import os
 import sys
@@ -7,112 +7,64 @@
                                 "..", "common_3"))
 from standins import *  # noqa: E402,F403
 
-FREEZE_S = 0.25
-ROUNDS = 6
-CALLS = 8
+ACK_S = 4.0  # ackTimeoutMs
+CANCEL_S = 3.0  # cancel_ms
+TASK_MS = 2000
+STEPS = 8
 
 
-class Connection:
-    """A connection that a client keeps open to one entry."""
-
-    def __init__(self, entry):
-        self.entry = entry
-
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            self.entry.machine.ip, CLIENTS_PORT)
-
-    def send(self, job_id, body):
-        data = json.dumps(body).encode()
-        self.writer.write(
-            (f"POST /jobs/{job_id} HTTP/1.1\r\nHost: desk.example\r\n"
-             "X-Hickorylatch-Deadline-Ms: 1500\r\n"
-             "Content-Type: application/json\r\n"
-             f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
-
-    async def receive(self):
-        try:
-            return (await asyncio.wait_for(read_response(self.reader), 2.0))[0]
-        except (asyncio.TimeoutError, OSError, EOFError):
-            return None
-
-
-def labelled(kind):
-    body = job(1, cpu=1600, estimated_ms=100)
-    body["phases"][0]["constraints"] = kind
-    return body
+def chain():
+    """A job of several steps, each after the one before it."""
+    return {"spec": "work", "bestEffort": True, "phases": [
+        {"count": 1, "cpu": 1600, "memMb": 64, "estimatedMs": TASK_MS,
+         **({"dependsOn": [step - 1]} if step else {})}
+        for step in range(STEPS)]}
 
 
 async def main(record, trouble):
-    deployment = Deployment(record, disks=3, workers=8)
+    deployment = Deployment(record, disks=3, workers=4)
     workers = []
-    wrong = []
     try:
         deployment.start()
-        workers = await start_workers(deployment, lambda task: 100)
-        for number, worker in enumerate(workers):
-            worker.kind = "a" if number else "b"
-            await worker.beat()
-        if not await put_configuration(deployment, configuration(3)):
+        job_id = new_id()
+        workers = await start_workers(
+            deployment, lambda task: TASK_MS if task.startswith(job_id)
+            else 30)
+        routes = [route("r-1"), route("r-2", "/other/")]
+        if not await put_configuration(deployment, configuration(3, routes)):
             raise CannotRun("no configuration")
         await wait_until_served(deployment)
         entry = deployment.with_role("entry")[0]
-        machine = [each for each in deployment.processes.values()
-                   if each.machine is entry.machine]
-        connections = [Connection(entry) for _ in range(CALLS)]
-        wanted = {}
-
-        def check(worker):
-            for _, task, number in worker.starts:
-                kind = wanted.get(task.split(".")[0])
-                if kind is not None and kind != worker.kind:
-                    wrong.append(task)
-                    record.write(f"ROUTE {worker.name} of kind {worker.kind} "
-                                 f"was told to start {task} run {number}, "
-                                 f"which needs {kind}")
-            worker.starts.clear()
-
-        for connection in connections:
-            await connection.open()
-            connection.send(new_id(), job(1, cpu=100, estimated_ms=100))
-            record.write(f"first call on its connection: "
-                         f"{await connection.receive()}")
-        for number in range(ROUNDS):
-            # The only worker of kind b becomes one of kind a.
-            old = workers[number % len(workers)]
-            if old.kind != "b":
-                check(old)
-                await old.restart("b")
-                record.write(f"{old.name} has restarted as one of kind b")
-            for worker in workers:
-                check(worker)
-            await asyncio.sleep(1.0)
-            if trouble:
-                for process in machine:
-                    process.signal(signal.SIGSTOP)
-                record.write(f"stopped {entry.machine.name}")
-            for connection in connections:
-                job_id = new_id()
-                wanted[job_id] = "b"
-                connection.send(job_id, labelled("b"))
-                record.write(f"client POST {job_id} for kind b at "
-                             f"{entry.name}")
-            if not trouble:
-                await asyncio.sleep(0.3)
-            began = time.monotonic()
-            check(old)
-            await old.restart("a")
-            record.write(f"{old.name} has restarted as one of kind a")
-            if trouble:
-                await asyncio.sleep(began + FREEZE_S - time.monotonic())
-                for process in machine:
-                    process.signal(signal.SIGCONT)
-                record.write(f"continued {entry.machine.name}")
-            answers = [await each.receive() for each in connections]
-            record.write(f"answers {answers}")
-        for worker in workers:
-            check(worker)
-        return not wrong
+        post = asyncio.create_task(submit(deployment, entry, job_id, chain(),
+                                          limit_ms=30000))
+        await asyncio.sleep(0.5)
+        if trouble:
+            # The queue of the job is removed.
+            if not await put_configuration(deployment,
+                                           configuration(4, routes[1:])):
+                raise CannotRun("the change was not acknowledged")
+        await asyncio.sleep(2.1)
+        since = time.monotonic()
+        cancelled_at = since + ACK_S
+        while time.monotonic() < since + ACK_S:
+            status, answer = await http(
+                entry.machine.ip, CLIENTS_PORT, "DELETE", "/jobs/" + job_id,
+                headers={"Host": "desk.example",
+                         "X-Hickorylatch-Deadline-Ms": "1500"}, timeout=1.5)
+            record.write(f"client DELETE {job_id} at {entry.name}: "
+                         f"{status} {answer}")
+            if status is not None and (200 <= status < 300 or status == 410):
+                cancelled_at = time.monotonic()
+                break
+            await asyncio.sleep(0.25)
+        await post
+        late = [(worker.name, task, when - cancelled_at)
+                for worker in workers for when, task, _ in worker.starts
+                if task.startswith(job_id) and when > cancelled_at + CANCEL_S]
+        for name, task, after in late:
+            record.write(f"UNASKED {name} was told to start {task} "
+                         f"{after:.3f} s after the cancellation counts")
+        return not late
     finally:
         for worker in workers:
             await worker.close()
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,9 @@
 set -uo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout --signal=INT --kill-after=5 110 python3 case.py
+timeout --signal=INT --kill-after=5 110 python3 case.py
+case $? in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/common_3/standins.py
+++ b/review/common_3/standins.py
@@ -482,6 +482,10 @@
     return status, answer
 
 
+# Not 1, with which Python ends after an error of the script itself.
+BROKEN = 10
+
+
 class CannotRun(Exception):
     """The case could not be carried out."""
 
@@ -526,4 +530,4 @@
         raise SystemExit(2)
     record.write("the rule held" if held else "the rule was broken")
     print("the rule held" if held else "the rule was broken")
-    raise SystemExit(0 if held else 1)
+    raise SystemExit(0 if held else BROKEN)
