review: case 11, an old order undoes an acknowledged evacuation

An order of the operator that waits at a leader that stands still is taken as a new one when that leader wakes, seconds after the operator has had it acknowledged elsewhere and has given the opposite order.

--- a/review/common_3/standins.py
+++ b/review/common_3/standins.py
@@ -92,8 +92,7 @@
                  f"bootstrap = {str(bootstrap).lower()}",
                  f"lossCounts = {str(machine.has_disk).lower()}",
                  'discovery = "local"', 'entry = "vip"', "heartbeatMs = 1500",
-                 'contracts = ["base","drain","config","cost","recover",'
-                 '"sched","advice","upkeep","sharing"]',
+                 "contracts = " + json.dumps(self.deployment.contracts),
                  'commands = "invocation"']
         if machine_has_disk(machine, self.role):
             lines.append(f'dataDir = "{self.data}"')
@@ -108,7 +107,8 @@
                   "machines = 1", "zones = 0", "regions = 0", "[bounds]",
                   "contactMs = 3000", "drainMs = 2000", "graceS = 6",
                   "configApplyMs = 2000", "maxHoldMs = 1000",
-                  "stopTimeoutMs = 50", "spreadFactor = 1.5", "status_s = 120"]
+                  "stopTimeoutMs = 50", "spreadFactor = 1.5", "status_s = 120",
+                  "evacuateMs = 5000"]
         with open(self.settings + ".new", "w") as out:
             out.write("\n".join(lines) + "\n")
         os.rename(self.settings + ".new", self.settings)
@@ -143,6 +143,8 @@
 
     def __init__(self, record, disks=3, others=0, workers=2):
         self.record = record
+        self.contracts = ["base", "drain", "config", "cost", "recover",
+                          "sched", "advice", "upkeep", "sharing"]
         self.folder = tempfile.mkdtemp(prefix="hickorylatch-review-")
         record.hidden = self.folder
         group, self.lock = reserve_group()
