review: case 14, a worker's draining is acknowledged and dropped

A report whose sequence is over 1,000 higher than the last one is dropped for up to 5 s though it is answered 200.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A client cancels a job whose queue a change has removed meanwhile."""
+"""A worker counts its heartbeats in milliseconds, and drains."""
 
 import os
 import sys
@@ -7,63 +7,70 @@
                                 "..", "common_3"))
 from standins import *  # noqa: E402,F403
 
-ACK_S = 4.0  # ackTimeoutMs
-CANCEL_S = 3.0  # cancel_ms
-TASK_MS = 2000
-STEPS = 8
+DRAIN_S = 2.0  # drainMs
+ROUNDS = 3
 
 
-def chain():
-    """A job of several steps, each after the one before it."""
-    return {"spec": "work", "bestEffort": True, "phases": [
-        {"count": 1, "cpu": 1600, "memMb": 64, "estimatedMs": TASK_MS,
-         **({"dependsOn": [step - 1]} if step else {})}
-        for step in range(STEPS)]}
+class MillisecondWorker(Worker):
+    """Takes its clock for the sequence, which increases with each call."""
+
+    def report(self, **changes):
+        self.sequence = max(self.sequence, self.clock() - 1)
+        return Worker.report(self, **changes)
 
 
 async def main(record, trouble):
     deployment = Deployment(record, disks=3, workers=4)
     workers = []
+    loads = set()
+    late = []
     try:
         deployment.start()
-        job_id = new_id()
-        workers = await start_workers(
-            deployment, lambda task: TASK_MS if task.startswith(job_id)
-            else 30)
-        routes = [route("r-1"), route("r-2", "/other/")]
-        if not await put_configuration(deployment, configuration(3, routes)):
+        for number, agent in enumerate(deployment.with_role("agent")):
+            worker = MillisecondWorker(deployment, agent, f"i-{number}",
+                                       cpu=6400)
+            worker.work_ms = lambda task: 200
+            workers.append(worker)
+            await worker.start()
+        if not await put_configuration(deployment, configuration(3)):
             raise CannotRun("no configuration")
         await wait_until_served(deployment)
-        entry = deployment.with_role("entry")[0]
-        post = asyncio.create_task(submit(deployment, entry, job_id, chain(),
-                                          limit_ms=30000))
-        await asyncio.sleep(0.5)
-        if trouble:
-            # The queue of the job is removed.
-            if not await put_configuration(deployment,
-                                           configuration(4, routes[1:])):
-                raise CannotRun("the change was not acknowledged")
-        await asyncio.sleep(2.1)
-        since = time.monotonic()
-        cancelled_at = since + ACK_S
-        while time.monotonic() < since + ACK_S:
-            status, answer = await http(
-                entry.machine.ip, CLIENTS_PORT, "DELETE", "/jobs/" + job_id,
-                headers={"Host": "desk.example",
-                         "X-Hickorylatch-Deadline-Ms": "1500"}, timeout=1.5)
-            record.write(f"client DELETE {job_id} at {entry.name}: "
-                         f"{status} {answer}")
-            if status is not None and (200 <= status < 300 or status == 410):
-                cancelled_at = time.monotonic()
-                break
-            await asyncio.sleep(0.25)
-        await post
-        late = [(worker.name, task, when - cancelled_at)
-                for worker in workers for when, task, _ in worker.starts
-                if task.startswith(job_id) and when > cancelled_at + CANCEL_S]
-        for name, task, after in late:
-            record.write(f"UNASKED {name} was told to start {task} "
-                         f"{after:.3f} s after the cancellation counts")
+        entries = deployment.with_role("entry")
+
+        async def keep_loading():
+            while True:
+                call = asyncio.create_task(submit(
+                    deployment, random.choice(entries), new_id(), job(2)))
+                loads.add(call)
+                call.add_done_callback(loads.discard)
+                await asyncio.sleep(0.1)
+
+        load = asyncio.create_task(keep_loading())
+        await asyncio.sleep(2.0)
+        for leaving in workers[:ROUNDS]:
+            # A heartbeat comes each 1.5 s; the next one says that the worker
+            # drains.
+            await asyncio.sleep(1.0)
+            if not trouble:
+                continue
+            leaving.state = "draining"
+            for _ in range(100):
+                if leaving.drain_acked_at is not None:
+                    break
+                await asyncio.sleep(0.05)
+            if leaving.drain_acked_at is None:
+                raise CannotRun("draining was not acknowledged")
+            await asyncio.sleep(DRAIN_S + 5.0)
+            late += [(leaving, when - leaving.drain_acked_at, task)
+                     for when, task, _ in leaving.starts
+                     if when > leaving.drain_acked_at + DRAIN_S]
+            leaving.state = "ready"
+        load.cancel()
+        if loads:
+            await asyncio.wait(loads)
+        for leaving, after, task in late:
+            record.write(f"DRAIN {leaving.name} was told to start {task} "
+                         f"{after:.3f} s after draining was acknowledged")
         return not late
     finally:
         for worker in workers:
