Order evacuation commands by fencing tokens of the leader

Tasks were started in the failure domain again, and nobody was told.

Cause: a command was carried out whenever it reached a leader. Each replica on its way counted the time limit anew, and one that had stepped down handed it on. Its operator had given up by then and had got the same and the opposite command acknowledged elsewhere. The number of a command prevents only that it is applied twice. The same holds for a command that waits in the connection to a replica or an entry that stands still, or for a link to the leader.

Change: the process with the operator's connection asks the leader for a token, then checks that the connection is still open, and sends the command with the token. The leader admits it only if it has admitted no other command since, in the same term. A process counts the time limit from the earliest time at which the request can have arrived, which a timer of the event loop bounds. A command is removed when its connection closes. Bare commands of other processes are refused.

Why it works: the operator still waited after the token was issued, so a command that it sent later is admitted later and makes the token outdated, or is admitted by a later leader, which refuses it. No message on the way can become valid again by waiting.

--- a/src/core/model/message.hpp
+++ b/src/core/model/message.hpp
@@ -184,11 +184,42 @@
 };
 BOOST_DESCRIBE_STRUCT(count_waiting_jobs, (), (m_queue))
 
+/// Issued by the leader. It admits one evacuation command, and only if the
+/// leader has admitted no other one since then.
+struct fencing_token
+{
+    /// Term of the leader that issued it; 0 for no token.
+    term_number m_term = 0;
+    /// Number of the commands that the leader had admitted in this term.
+    std::uint64_t m_admitted = 0;
+
+    auto operator==(fencing_token const&) const -> bool = default;
+};
+BOOST_DESCRIBE_STRUCT(fencing_token, (), (m_term, m_admitted))
+
+/// Returns a fencing token in `operate_result::m_token`.
+struct issue_fencing_token
+{
+    std::uint64_t m_unused = 0;
+};
+BOOST_DESCRIBE_STRUCT(issue_fencing_token, (), (m_unused))
+
+/// An evacuation command from the process that got it from the operator. The
+/// operator was waiting for the answer when the token had been issued. Refused
+/// with `reason::version_conflict` if the token is outdated.
+struct fenced_evacuation
+{
+    set_evacuation m_change;
+    fencing_token m_token;
+};
+BOOST_DESCRIBE_STRUCT(fenced_evacuation, (), (m_change, m_token))
+
 using operation =
     std::variant<query_status, change_configuration, cancel_job,
                  change_membership, bootstrap_control_group,
                  install_configuration, read_configuration, post_job, find_job,
-                 cancel_durable_job, count_waiting_jobs, set_evacuation>;
+                 cancel_durable_job, count_waiting_jobs, set_evacuation,
+                 issue_fencing_token, fenced_evacuation>;
 
 struct operate
 {
@@ -211,10 +242,12 @@
     /// Leader known to the replica. Sending later operations to it directly
     /// saves the forwarding.
     node_id m_leader = no_node;
+    /// Result of `issue_fencing_token`.
+    fencing_token m_token;
 };
 BOOST_DESCRIBE_STRUCT(operate_result, (),
                       (m_sequence, m_verdict, m_version, m_document,
-                       m_job_state, m_count, m_leader))
+                       m_job_state, m_count, m_leader, m_token))
 
 // Messages between an agent and the control leader.
 
--- a/src/core/roles/control.cpp
+++ b/src/core/roles/control.cpp
@@ -228,27 +228,36 @@
             std::get_if<bootstrap_control_group>(&request.m_operation))
         bootstrap_group(context, who, *bootstrap);
     else
-        operate(context, who, request.m_operation);
+        operate(context, who, request.m_operation, request.m_waited);
     advance(context);
 }
 
+auto control::abandoned(exchange_id exchange) -> void
+{
+    m_pending.abandon({no_node, exchange});
+}
+
+auto control::checked(time_point now, exchange_checked const& answer,
+                      random_source& random, effects& out) -> void
+{
+    m_pending.requester_waits(answer);
+    advance(make_context(now, random, out));
+}
+
 auto control::operate(control_context const& context, operation_requester who,
-                      operation const& requested) -> void
+                      operation const& requested, duration waited) -> void
 {
     auto result = operate_result{};
     result.m_verdict.m_run = run_state::ran;
     result.m_version = m_state.config().m_version;
-    if (auto const* evacuation = std::get_if<set_evacuation>(&requested))
+    if (auto const why = check_evacuation(who, requested))
     {
-        if (auto const why = check(who, *evacuation))
-        {
-            answer_operator(context.m_out, who, {0, *why, 0, {}});
-            return;
-        }
+        answer_operator(context.m_out, who, {0, *why, 0, {}});
+        return;
     }
     if (pending_operations::accepts(requested))
     {
-        if (!m_pending.add(context.m_now, who, requested))
+        if (!m_pending.add(context.m_now, who, requested, waited))
             answer_operator(context.m_out, who,
                             {0, refused(reason::queue_full), 0, {}});
         return;
--- a/src/core/roles/control.hpp
+++ b/src/core/roles/control.hpp
@@ -49,6 +49,10 @@
                  random_source& random, effects& out) -> void;
     auto arrived(time_point now, operation_arrived const& request,
                  random_source& random, effects& out) -> void;
+    /// The operator has closed its connection.
+    auto abandoned(exchange_id exchange) -> void;
+    auto checked(time_point now, exchange_checked const& answer,
+                 random_source& random, effects& out) -> void;
     auto synced(time_point now, log_synced const& done, random_source& random,
                 effects& out) -> void;
     auto saved(snapshot_saved const& done) -> void;
@@ -85,7 +89,8 @@
     auto handle_agent_message(control_context const& context, node_id from,
                               message const& incoming) -> bool;
     auto operate(control_context const& context, operation_requester who,
-                 operation const& requested) -> void;
+                 operation const& requested, duration waited = duration{0})
+        -> void;
     /// Handles the process list that a replica sends to a volatile one. False
     /// for other messages.
     auto handle_process_list(control_context const& context, node_id from,
@@ -108,9 +113,9 @@
     /// the end of each event.
     auto advance(control_context const& context) -> void;
     auto apply(control_context const& context, log_entry const& entry) -> void;
-    /// Verdict if the command is not accepted.
-    [[nodiscard]] auto check(operation_requester who,
-                             set_evacuation const& change) const
+    /// Verdict if the operation is an evacuation command and is not accepted.
+    [[nodiscard]] auto check_evacuation(operation_requester who,
+                                        operation const& requested) const
         -> std::optional<verdict>;
     /// Logs the evacuations and sends them to all entries and agents.
     auto evacuations_changed(control_context const& context) -> void;
--- a/src/core/roles/control_evacuations.cpp
+++ b/src/core/roles/control_evacuations.cpp
@@ -1,6 +1,7 @@
 #include "core/roles/control.hpp"
 
 #include <algorithm>
+#include <variant>
 
 namespace hickorylatch::core
 {
@@ -12,10 +13,22 @@
 
 } // namespace
 
-auto control::check(operation_requester who, set_evacuation const& change) const
+auto control::check_evacuation(operation_requester who,
+                               operation const& requested) const
     -> std::optional<verdict>
 {
-    auto const& name = change.m_failure_domain;
+    auto const* fenced = std::get_if<fenced_evacuation>(&requested);
+    auto const* change = fenced != nullptr
+                             ? &fenced->m_change
+                             : std::get_if<set_evacuation>(&requested);
+    if (change == nullptr)
+        return std::nullopt;
+    // Another process sends the command with a token: only the process that got
+    // it from the operator knows whether the operator still waits.
+    if (fenced == nullptr && who.m_entry != no_node)
+        return refused(reason::version_conflict,
+                       "the command has no fencing token");
+    auto const& name = change->m_failure_domain;
     if (name.empty() || name.size() > max_domain_length)
         return refused(reason::invalid,
                        "the name of a failure domain has 1 to 128 bytes");
--- a/src/core/roles/entry.cpp
+++ b/src/core/roles/entry.cpp
@@ -52,8 +52,12 @@
     m_lease.clear_leader(peer);
     for (auto const& [sequence, request] : m_requests)
         m_unsent.insert(sequence);
-    for (auto const& [sequence, request] : m_operations)
+    for (auto& [sequence, request] : m_operations)
+    {
+        if (request.m_order)
+            request.m_order->restart();
         m_unsent.insert(sequence);
+    }
 }
 
 auto entry::receive(time_point now, node_id from, message const& incoming,
@@ -62,7 +66,10 @@
     if (auto const* result = std::get_if<submit_result>(&incoming))
         on(*result, from, now, out);
     else if (auto const* done = std::get_if<operate_result>(&incoming))
+    {
         on(*done, out);
+        forward(now, out);
+    }
     else if (auto const* refusal = std::get_if<not_leader>(&incoming))
     {
         on(*refusal);
@@ -166,6 +173,11 @@
     pending.m_exchange = request.m_exchange;
     pending.m_operation = request.m_operation;
     pending.m_deadline = now + operation_timeout;
+    if (auto const* change = std::get_if<set_evacuation>(&request.m_operation))
+    {
+        pending.m_order.emplace(*change);
+        pending.m_deadline -= request.m_waited;
+    }
     m_exchanges[request.m_exchange] = sequence;
     m_deadlines.emplace(pending.m_deadline, sequence);
     m_unsent.insert(sequence);
@@ -188,6 +200,20 @@
     m_requests.erase(request);
 }
 
+auto entry::checked(time_point now, exchange_checked const& answer,
+                    effects& out) -> void
+{
+    auto const exchange = m_exchanges.find(answer.m_exchange);
+    if (exchange == m_exchanges.end())
+        return;
+    auto const found = m_operations.find(exchange->second);
+    if (found == m_operations.end() || !found->second.m_order ||
+        !found->second.m_order->requester_waits(answer.m_check))
+        return;
+    m_unsent.insert(found->first);
+    forward(now, out);
+}
+
 auto entry::tick(time_point now, effects& out) -> void
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
@@ -277,14 +303,23 @@
             forward(now, sequence, request->second, out);
         else if (auto const found = m_operations.find(sequence);
                  found != m_operations.end())
-        {
-            found->second.m_was_sent = true;
-            out.emplace_back(
-                send{leader, operate{sequence, found->second.m_operation}});
-        }
+            forward(sequence, found->second, out);
     }
 }
 
+auto entry::forward(std::uint64_t sequence, pending_operation& request,
+                    effects& out) -> void
+{
+    auto const next = request.m_order ? request.m_order->next_operation()
+                                      : std::optional{request.m_operation};
+    if (!next)
+        return;
+    // A request for a token changes nothing at the leader.
+    if (!std::holds_alternative<issue_fencing_token>(*next))
+        request.m_was_sent = true;
+    out.emplace_back(send{m_lease.leader(), operate{sequence, *next}});
+}
+
 auto entry::forward(time_point now, std::uint64_t sequence,
                     pending_request& request, effects& out) -> void
 {
@@ -325,8 +360,30 @@
                                         {{"kind", "late_answer"}}});
 }
 
+auto entry::update_order(operate_result const& result, effects& out) -> bool
+{
+    auto const found = m_operations.find(result.m_sequence);
+    if (found == m_operations.end() || !found->second.m_order)
+        return false;
+    auto& order = *found->second.m_order;
+    if (result.m_token.m_term != 0)
+    {
+        order.token_issued(result.m_token);
+        if (auto const check = order.take_due_check())
+            out.emplace_back(check_exchange{found->second.m_exchange, *check});
+        return true;
+    }
+    if (result.m_verdict.m_reason != reason::version_conflict)
+        return false;
+    order.restart();
+    m_unsent.insert(result.m_sequence);
+    return true;
+}
+
 auto entry::on(operate_result const& result, effects& out) -> void
 {
+    if (update_order(result, out))
+        return;
     auto const found = m_operations.find(result.m_sequence);
     if (found == m_operations.end())
         return;
--- a/src/core/roles/entry.hpp
+++ b/src/core/roles/entry.hpp
@@ -3,6 +3,7 @@
 
 #include "core/model/effect.hpp"
 #include "core/model/random_source.hpp"
+#include "core/roles/evacuation_order.hpp"
 #include "core/roles/lease.hpp"
 
 #include <cstdint>
@@ -28,6 +29,8 @@
     auto arrived(time_point now, operation_arrived const& request, effects& out)
         -> void;
     auto abandoned(exchange_id exchange, effects& out) -> void;
+    auto checked(time_point now, exchange_checked const& answer, effects& out)
+        -> void;
     auto tick(time_point now, effects& out) -> void;
     auto stop() -> void;
 
@@ -59,6 +62,8 @@
     {
         exchange_id m_exchange = 0;
         operation m_operation;
+        /// Set for an evacuation command.
+        std::optional<evacuation_order> m_order;
         time_point m_deadline = never;
         bool m_was_sent = false;
     };
@@ -75,7 +80,11 @@
                  pending_request& request, effects& out) -> void;
     auto on(submit_result const& result, node_id from, time_point now,
             effects& out) -> void;
+    auto forward(std::uint64_t sequence, pending_operation& request,
+                 effects& out) -> void;
     auto on(operate_result const& result, effects& out) -> void;
+    /// Handles a fencing token or the refusal of one. False for other results.
+    auto update_order(operate_result const& result, effects& out) -> bool;
     auto on(not_leader const& refusal) -> void;
     auto follow(time_point now, node_id from,
                 configuration_changed const& change, effects& out) -> void;
--- a/src/core/roles/node.cpp
+++ b/src/core/roles/node.cpp
@@ -124,6 +124,8 @@
             m_node.m_entry->abandoned(event.m_exchange, m_out);
         if (m_node.m_broker)
             m_node.m_broker->abandoned(m_now, event.m_exchange, m_out);
+        if (m_node.m_control)
+            m_node.m_control->abandoned(event.m_exchange);
     }
 
     auto operator()(operation_arrived const& event) -> void
@@ -134,6 +136,14 @@
             m_node.m_entry->arrived(m_now, event, m_out);
     }
 
+    auto operator()(exchange_checked const& event) -> void
+    {
+        if (m_node.m_control)
+            m_node.m_control->checked(m_now, event, m_node.m_random, m_out);
+        else if (m_node.m_entry)
+            m_node.m_entry->checked(m_now, event, m_out);
+    }
+
     auto operator()(call_finished const& event) -> void
     {
         if (m_node.m_agent)
--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -26,7 +26,11 @@
 auto final_result(operation const& requested, control_state const& state)
     -> std::optional<operate_result>
 {
-    if (auto const* change = std::get_if<set_evacuation>(&requested))
+    auto const* fenced = std::get_if<fenced_evacuation>(&requested);
+    auto const* change = fenced != nullptr
+                             ? &fenced->m_change
+                             : std::get_if<set_evacuation>(&requested);
+    if (change != nullptr)
     {
         if (!state.evacuated().has_applied(change->m_number))
             return std::nullopt;
@@ -46,6 +50,12 @@
     return result;
 }
 
+auto is_evacuation(operation const& requested) -> bool
+{
+    return std::holds_alternative<set_evacuation>(requested) ||
+           std::holds_alternative<fenced_evacuation>(requested);
+}
+
 } // namespace
 
 auto pending_operations::start(std::uint64_t first_number) -> void
@@ -61,11 +71,12 @@
            std::holds_alternative<find_job>(requested) ||
            std::holds_alternative<cancel_durable_job>(requested) ||
            std::holds_alternative<count_waiting_jobs>(requested) ||
-           std::holds_alternative<set_evacuation>(requested);
+           std::holds_alternative<issue_fencing_token>(requested) ||
+           is_evacuation(requested);
 }
 
 auto pending_operations::add(time_point now, operation_requester requester,
-                             operation requested) -> bool
+                             operation requested, duration waited) -> bool
 {
     if (m_pending.size() >= maximum_pending)
         return false;
@@ -73,16 +84,41 @@
     added.m_number = ++m_last_number;
     added.m_requester = requester;
     added.m_operation = std::move(requested);
-    if (auto* change = std::get_if<set_evacuation>(&added.m_operation);
-        change != nullptr && change->m_number == 0)
-        change->m_number = added.m_number;
+    auto arrived_at = now;
+    if (auto* change = std::get_if<set_evacuation>(&added.m_operation))
+    {
+        if (change->m_number == 0)
+            change->m_number = added.m_number;
+        added.m_order.emplace(*change);
+        arrived_at -= waited;
+    }
     if (auto const* found = std::get_if<find_job>(&added.m_operation))
         added.m_wait_until = now + std::chrono::milliseconds{found->m_wait_ms};
-    added.m_deadline = std::max(now, added.m_wait_until) + answer_timeout;
+    added.m_deadline =
+        std::max(arrived_at, added.m_wait_until) + answer_timeout;
     m_pending.push_back(std::move(added));
     return true;
 }
 
+auto pending_operations::abandon(operation_requester requester) -> void
+{
+    std::erase_if(m_pending,
+                  [&](pending const& each)
+                  {
+                      return each.m_order && each.m_requester == requester;
+                  });
+}
+
+auto pending_operations::requester_waits(exchange_checked const& answer) -> void
+{
+    auto const requester = operation_requester{no_node, answer.m_exchange};
+    auto const found =
+        std::ranges::find(m_pending, requester, &pending::m_requester);
+    if (found != m_pending.end() && found->m_order &&
+        found->m_order->requester_waits(answer.m_check))
+        found->m_forwarded_to = no_node;
+}
+
 auto pending_operations::handle_result(operate_result const& result)
     -> std::optional<completed_operation>
 {
@@ -90,7 +126,17 @@
         std::ranges::find(m_pending, result.m_sequence, &pending::m_number);
     if (found == m_pending.end())
         return std::nullopt;
-    if (result.m_verdict.m_reason == reason::no_leader)
+    auto const is_conflict =
+        result.m_verdict.m_reason == reason::version_conflict;
+    if (found->m_order && result.m_token.m_term != 0)
+    {
+        found->m_order->token_issued(result.m_token);
+        return std::nullopt;
+    }
+    if (found->m_order && is_conflict)
+        found->m_order->restart();
+    if (result.m_verdict.m_reason == reason::no_leader ||
+        (found->m_order && is_conflict))
     {
         found->m_forwarded_to = no_node;
         return std::nullopt;
@@ -106,8 +152,13 @@
 auto pending_operations::link_changed(node_id peer) -> void
 {
     for (auto& each : m_pending)
-        if (each.m_forwarded_to == peer)
-            each.m_forwarded_to = no_node;
+    {
+        if (each.m_forwarded_to != peer)
+            continue;
+        each.m_forwarded_to = no_node;
+        if (each.m_order)
+            each.m_order->restart();
+    }
 }
 
 auto pending_operations::advance(time_point now, replica& log,
@@ -121,7 +172,10 @@
     auto const try_complete = [&](pending& waiting) -> bool
     {
         auto result = final_result(waiting.m_operation, state);
-        if (!result && is_leading)
+        // The operator may have given up.
+        auto const is_late =
+            now >= waiting.m_deadline && is_evacuation(waiting.m_operation);
+        if (!result && is_leading && !is_late)
             result = execute_as_leader(now, waiting, log, state, runner);
         if (!result && now >= waiting.m_deadline)
         {
@@ -136,18 +190,32 @@
         if (!is_leading && forward_to != no_node &&
             forward_to != log.identity() &&
             waiting.m_forwarded_to != forward_to)
-        {
-            waiting.m_forwarded_to = forward_to;
-            ++waiting.m_forward_count;
-            out.emplace_back(send{
-                forward_to, operate{waiting.m_number, waiting.m_operation}});
-        }
+            forward(waiting, forward_to, out);
+        auto const check =
+            waiting.m_order ? waiting.m_order->take_due_check() : std::nullopt;
+        if (check)
+            out.emplace_back(
+                check_exchange{waiting.m_requester.m_sequence, *check});
         return false;
     };
     std::erase_if(m_pending, try_complete);
     return completed;
 }
 
+auto pending_operations::forward(pending& waiting, node_id to, effects& out)
+    -> void
+{
+    auto const next = waiting.m_order ? waiting.m_order->next_operation()
+                                      : std::optional{waiting.m_operation};
+    if (!next)
+        return;
+    waiting.m_forwarded_to = to;
+    // A request for a token changes nothing at the leader.
+    if (!std::holds_alternative<issue_fencing_token>(*next))
+        ++waiting.m_forward_count;
+    out.emplace_back(send{to, operate{waiting.m_number, *next}});
+}
+
 auto pending_operations::propose(pending& waiting, replica& log, command wanted)
     -> void
 {
@@ -184,8 +252,15 @@
         propose(waiting, log, *wanted);
         return std::nullopt;
     }
-    if (auto const* change = std::get_if<set_evacuation>(&requested))
-        return execute_as_leader(now, waiting, log, state, *change);
+    if (std::holds_alternative<issue_fencing_token>(requested))
+    {
+        result.m_token = m_fence.issue(log.term());
+        return result;
+    }
+    if (waiting.m_order)
+        return execute_as_leader(now, waiting, log, state, *waiting.m_order);
+    if (auto const* command = std::get_if<fenced_evacuation>(&requested))
+        return execute_as_leader(now, waiting, log, state, *command);
     if (auto const* posted = std::get_if<post_job>(&requested))
     {
         if (state.jobs().find(posted->m_job.m_id) != nullptr)
@@ -235,30 +310,71 @@
 auto pending_operations::execute_as_leader(time_point now, pending& waiting,
                                            replica& log,
                                            control_state const& state,
-                                           set_evacuation const& change)
+                                           evacuation_order& order)
     -> std::optional<operate_result>
 {
+    if (!order.has_token())
+        order.token_issued(m_fence.issue(log.term()));
+    if (!order.usable_token())
+        return std::nullopt;
+    auto const command =
+        fenced_evacuation{order.change(), *order.usable_token()};
+    auto result = execute_as_leader(now, waiting, log, state, command);
+    if (!result || result->m_verdict.m_reason != reason::version_conflict)
+        return result;
+    order.restart();
+    order.token_issued(m_fence.issue(log.term()));
+    return std::nullopt;
+}
+
+auto pending_operations::execute_as_leader(time_point now, pending& waiting,
+                                           replica& log,
+                                           control_state const& state,
+                                           fenced_evacuation const& command)
+    -> std::optional<operate_result>
+{
+    if (waiting.m_admitted_term != log.term())
+        if (auto refusal = admit(waiting, log, state, command))
+            return refusal;
+    // Without the confirmation a leader that was suspended would acknowledge a
+    // command that the current leader has reversed.
+    if (!waiting.m_is_fulfilled || !is_leadership_confirmed(now, waiting, log))
+        return std::nullopt;
     auto result = operate_result{};
+    result.m_verdict.m_run = run_state::ran;
     result.m_version = state.config().m_version;
-    if (state.evacuated().is_as_requested(change))
+    return result;
+}
+
+auto pending_operations::admit(pending& waiting, replica& log,
+                               control_state const& state,
+                               fenced_evacuation const& command)
+    -> std::optional<operate_result>
+{
+    auto const refuse = [&](reason why, std::string_view detail)
     {
-        // Without the confirmation a leader that was suspended would
-        // acknowledge a command that the current leader has reversed.
-        if (!is_leadership_confirmed(now, waiting, log))
-            return std::nullopt;
-        result.m_verdict.m_run = run_state::ran;
+        auto result = operate_result{};
+        result.m_version = state.config().m_version;
+        result.m_verdict = refused(why, detail);
+        if (waiting.m_proposed_term != 0)
+            result.m_verdict = after_resend(result.m_verdict);
         return result;
-    }
+    };
+    if (!m_fence.admit(log.term(), command.m_token))
+        return refuse(reason::version_conflict, "the token is outdated");
+    waiting.m_admitted_term = log.term();
+    auto const& change = command.m_change;
+    waiting.m_is_fulfilled = state.evacuated().is_as_requested(change);
+    if (waiting.m_is_fulfilled)
+        return std::nullopt;
     // An earlier leader may have proposed the command already.
     if (waiting.m_proposed_term == 0 && waiting.m_forward_count == 0 &&
         change.m_is_evacuated && state.evacuated().is_full())
-    {
-        result.m_verdict = refused(
-            reason::queue_full, std::to_string(max_evacuated_domains) +
-                                    " failure domains are evacuated already");
-        return result;
-    }
-    propose(waiting, log, change);
+        return refuse(reason::queue_full,
+                      std::to_string(max_evacuated_domains) +
+                          " failure domains are evacuated already");
+    waiting.m_proposed_term = log.term();
+    log.propose(change);
     return std::nullopt;
 }
 
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -5,6 +5,8 @@
 #include "core/model/effect.hpp"
 #include "core/replication/replica.hpp"
 #include "core/roles/control_state.hpp"
+#include "core/roles/evacuation_fence.hpp"
+#include "core/roles/evacuation_order.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +21,8 @@
     /// `no_node` for an operator's request to this process.
     node_id m_entry = no_node;
     std::uint64_t m_sequence = 0;
+
+    auto operator==(operation_requester const&) const -> bool = default;
 };
 
 /// The result of an operation and its addressee.
@@ -31,7 +35,8 @@
 /// Operations that every replica accepts: installations and reads of the
 /// configuration, evacuations and restorations of failure domains, and the
 /// entries' operations on durable jobs. The leader completes them; another
-/// replica forwards them as soon as it knows a leader.
+/// replica forwards them as soon as it knows a leader. An evacuation command is
+/// forwarded as an `evacuation_order`.
 class pending_operations
 {
 public:
@@ -42,9 +47,15 @@
     /// True for the operations that this class handles.
     [[nodiscard]] static auto accepts(operation const& requested) -> bool;
 
-    /// False if too many operations are pending.
-    auto add(time_point now, operation_requester requester, operation requested)
-        -> bool;
+    /// False if too many operations are pending. An evacuation command that has
+    /// waited in a socket before has that much less time left.
+    auto add(time_point now, operation_requester requester, operation requested,
+             duration waited = duration{0}) -> bool;
+    /// Removes the evacuation command of an operator that has given up. It is
+    /// not executed unless it was admitted already.
+    auto abandon(operation_requester requester) -> void;
+    /// The operator still waited for the answer at this check of its exchange.
+    auto requester_waits(exchange_checked const& answer) -> void;
     /// Handles the leader's answer to a forwarded operation. A refusal becomes
     /// uncertain if the operation may have been proposed before.
     auto handle_result(operate_result const& result)
@@ -70,6 +81,8 @@
         std::uint64_t m_number = 0;
         operation_requester m_requester;
         operation m_operation;
+        /// Set for the evacuation command of an operator.
+        std::optional<evacuation_order> m_order;
         time_point m_deadline = never;
         /// Until this time the answer waits for the job to end.
         time_point m_wait_until{0};
@@ -82,15 +95,29 @@
         /// When this replica first handled the read as leader of `m_read_term`.
         time_point m_read_at{0};
         term_number m_read_term = 0;
+        /// Last term in which this replica admitted the evacuation command as
+        /// leader.
+        term_number m_admitted_term = 0;
+        /// The domain was in the requested state when the command was admitted.
+        bool m_is_fulfilled = false;
     };
 
     auto execute_as_leader(time_point now, pending& waiting, replica& log,
                            control_state const& state, job_runner const* runner)
         -> std::optional<operate_result>;
+    auto execute_as_leader(time_point now, pending& waiting, replica& log,
+                           control_state const& state, evacuation_order& order)
+        -> std::optional<operate_result>;
     auto execute_as_leader(time_point now, pending& waiting, replica& log,
                            control_state const& state,
-                           set_evacuation const& change)
+                           fenced_evacuation const& command)
+        -> std::optional<operate_result>;
+    /// Decides whether a command changes the set of evacuations, and proposes
+    /// it if so. Returns a result if it is refused.
+    auto admit(pending& waiting, replica& log, control_state const& state,
+               fenced_evacuation const& command)
         -> std::optional<operate_result>;
+    auto forward(pending& waiting, node_id to, effects& out) -> void;
     /// Proposes the command once per term.
     auto propose(pending& waiting, replica& log, command wanted) -> void;
     /// True once a quorum has confirmed that this replica led when the request
@@ -101,6 +128,7 @@
     std::uint64_t m_last_number = 0;
     std::vector<pending> m_pending;
     time_point m_advanced_at{0};
+    evacuation_fence m_fence;
 };
 
 } // namespace hickorylatch::core
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -262,6 +262,14 @@
         m_became_idle.emit();
 }
 
+auto http_server::is_waiting(core::exchange_id exchange) const -> bool
+{
+    auto const found = m_exchanges.find(exchange);
+    return found != m_exchanges.end() &&
+           !is_closed_by_client(
+               evhttp_request_get_connection(found->second->m_request));
+}
+
 auto http_server::open_exchanges() const -> std::size_t
 {
     return m_exchanges.size();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -87,6 +87,9 @@
     /// the given bytes unmodified.
     auto abort(core::exchange_id exchange, std::string_view raw_bytes = {})
         -> void;
+    /// True unless the exchange was answered or its client has closed the
+    /// connection. Sees a closing that was not handled yet.
+    [[nodiscard]] auto is_waiting(core::exchange_id exchange) const -> bool;
     /// Number of exchanges that are neither answered nor abandoned.
     [[nodiscard]] auto open_exchanges() const -> std::size_t;
     /// Number of open connections, including those refused with 503.
--- a/src/platform/operators_api.cpp
+++ b/src/platform/operators_api.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorylatch::platform
@@ -27,6 +28,11 @@
         {
             answer(reply);
         });
+    m_process.exchange_check_requested().connect(
+        [this](core::check_exchange const& check)
+        {
+            check_waiting(check);
+        });
 }
 
 auto operators_api::open(process::process& target, std::string_view address)
@@ -40,6 +46,11 @@
             self->handle(request);
         });
     BOOST_LEAF_CHECK(server->listen(address));
+    server->exchange_abandoned().connect(
+        [self = api.get()](core::exchange_id exchange)
+        {
+            self->abandon(exchange);
+        });
     api->m_server = &target.add_server(std::move(server));
     return api;
 }
@@ -128,8 +139,33 @@
     m_pending_exchanges[operation_id] = {
         request.m_exchange,
         std::holds_alternative<core::set_evacuation>(operation)};
-    m_process.handle_event(
-        core::operation_arrived{operation_id, std::move(operation)});
+    m_process.handle_event(core::operation_arrived{
+        operation_id, std::move(operation), m_process.request_wait()});
+}
+
+auto operators_api::check_waiting(core::check_exchange const& check) -> void
+{
+    auto const found = m_pending_exchanges.find(check.m_exchange);
+    if (found == m_pending_exchanges.end() ||
+        !m_server->is_waiting(found->second.m_exchange))
+        return;
+    m_process.handle_event_later(
+        core::exchange_checked{check.m_exchange, check.m_check});
+}
+
+auto operators_api::abandon(core::exchange_id exchange) -> void
+{
+    auto const found =
+        std::ranges::find_if(m_pending_exchanges,
+                             [&](auto const& item)
+                             {
+                                 return item.second.m_exchange == exchange;
+                             });
+    if (found == m_pending_exchanges.end())
+        return;
+    auto const operation_id = found->first;
+    m_pending_exchanges.erase(found);
+    m_process.handle_event(core::request_abandoned{operation_id});
 }
 
 auto operators_api::answer(core::reply_operator const& reply) -> void
--- a/src/platform/operators_api.hpp
+++ b/src/platform/operators_api.hpp
@@ -39,6 +39,9 @@
     auto start_read() -> void;
     auto submit_operation(net::http_request const& request,
                           core::operation operation) -> void;
+    auto check_waiting(core::check_exchange const& check) -> void;
+    /// The client of this exchange of the server has closed its connection.
+    auto abandon(core::exchange_id exchange) -> void;
     auto answer(core::reply_operator const& reply) -> void;
     auto answer(core::exchange_id exchange, core::operate_result const& result)
         -> void;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -137,7 +137,8 @@
 } // namespace
 
 process::process(settings::settings options, observe::logger log)
-    : m_settings{std::move(options)}, m_log{std::move(log)}, m_signals{m_loop},
+    : m_settings{std::move(options)}, m_log{std::move(log)},
+      m_arrival_bound{m_loop}, m_signals{m_loop},
       m_ledger{std::make_shared<net::connection_ledger>(net::connection_bounds{
           m_settings.m_client_memory_bytes,
           m_settings.m_client_connection_limit,
@@ -462,6 +463,8 @@
     handle_clock_tick();
     handle_event(core::started{random_number()});
     m_links->set_targets(m_settings.m_control_addresses);
+    if (m_node.m_control || m_node.m_entry)
+        m_arrival_bound.start();
     m_loop.run();
     if (m_spans)
         m_spans->flush();
@@ -479,6 +482,15 @@
     reduce(now, event);
 }
 
+auto process::handle_event_later(core::event event) -> void
+{
+    m_loop.post(
+        [this, later = std::move(event)]
+        {
+            handle_event(later);
+        });
+}
+
 auto process::check_suspension(core::time_point now) -> void
 {
     auto const total = m_loop.suspended_time();
--- a/src/process/process.hpp
+++ b/src/process/process.hpp
@@ -2,6 +2,7 @@
 #define HICKORYLATCH_PROCESS_PROCESS_HPP
 
 #include "core/roles/node.hpp"
+#include "net/arrival_bound.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
 #include "net/peer_links.hpp"
@@ -55,6 +56,8 @@
 
     /// Passes an event to the reducer and executes its effects.
     auto handle_event(core::event const& event) -> void;
+    /// Does the same in a later loop iteration.
+    auto handle_event_later(core::event event) -> void;
     /// Allocates the id of an exchange that an adapter answers itself.
     [[nodiscard]] auto allocate_exchange_id() -> core::exchange_id;
     [[nodiscard]] auto loop() -> net::event_loop&;
@@ -73,6 +76,13 @@
     /// Answer to an operation with an id from `allocate_exchange_id`.
     auto operation_answered()
         -> sigc::signal<void(core::reply_operator const&)>&;
+    /// Check of the exchange of such an operation. `exchange_checked` must
+    /// follow if its client still waits.
+    auto exchange_check_requested()
+        -> sigc::signal<void(core::check_exchange const&)>&;
+    /// Upper bound of the time that a request which is handled now has waited
+    /// in the sockets of this process.
+    [[nodiscard]] auto request_wait() const -> core::duration;
     auto run_start_requested() -> sigc::signal<void(core::start_run const&)>&;
     auto run_stop_requested() -> sigc::signal<void(core::stop_run const&)>&;
     auto poll_requested() -> sigc::signal<void(core::poll_runs const&)>&;
@@ -133,6 +143,7 @@
     auto execute(core::poll_runs& effect) -> void;
     auto execute(core::close_idle_callers& effect) -> void;
     auto execute(core::check_worker& effect) -> void;
+    auto execute(core::check_exchange& effect) -> void;
 
     auto handle_caller(net::http_server& server,
                        net::http_request const& request) -> void;
@@ -186,6 +197,7 @@
     observe::metrics m_metrics;
     std::optional<observe::span_writer> m_spans;
     net::event_loop m_loop;
+    net::arrival_bound m_arrival_bound;
     net::process_signals m_signals;
     core::node m_node;
     std::unique_ptr<net::peer_links> m_links;
@@ -218,6 +230,7 @@
     sigc::signal<void(core::answer_pending_count const&)>
         m_pending_count_answered;
     sigc::signal<void(core::reply_operator const&)> m_operation_answered;
+    sigc::signal<void(core::check_exchange const&)> m_exchange_check_requested;
     sigc::signal<void(core::start_run const&)> m_run_start_requested;
     sigc::signal<void(core::stop_run const&)> m_run_stop_requested;
     sigc::signal<void(core::poll_runs const&)> m_poll_requested;
--- a/src/process/process_http.cpp
+++ b/src/process/process_http.cpp
@@ -265,7 +265,8 @@
                                core::operation operation) -> void
 {
     auto const exchange = add_exchange(server, request.m_exchange);
-    handle_event(core::operation_arrived{exchange, std::move(operation)});
+    handle_event(core::operation_arrived{exchange, std::move(operation),
+                                         request_wait()});
 }
 
 auto process::add_exchange(net::http_server& server, core::exchange_id exchange,
@@ -327,6 +328,28 @@
         m_operation_answered.emit(effect);
 }
 
+auto process::execute(core::check_exchange& effect) -> void
+{
+    auto const found = m_exchanges.find(effect.m_exchange);
+    if (found == m_exchanges.end())
+        return m_exchange_check_requested.emit(effect);
+    auto const& exchange = found->second;
+    if (exchange.m_server->is_waiting(exchange.m_server_exchange))
+        handle_event_later(
+            core::exchange_checked{effect.m_exchange, effect.m_check});
+}
+
+auto process::exchange_check_requested()
+    -> sigc::signal<void(core::check_exchange const&)>&
+{
+    return m_exchange_check_requested;
+}
+
+auto process::request_wait() const -> core::duration
+{
+    return m_loop.now() - m_arrival_bound.earliest();
+}
+
 auto process::current_config() const -> core::configuration const&
 {
     static auto const none = core::configuration{};
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -276,6 +276,27 @@
     BOOST_TEST(tested.m_http.open_exchanges() == 0U);
 }
 
+// Guards against a command for a client that has closed its connection, while
+// the event of the closing is not handled yet.
+BOOST_AUTO_TEST_CASE(a_client_that_closed_its_connection_does_not_wait)
+{
+    for (auto const is_reset : {false, true})
+    {
+        auto loop = net::event_loop{};
+        auto tested = server{loop};
+        auto client = raw_socket{tested.m_port};
+        client.send(request_text("/first"));
+        BOOST_TEST(until_size(loop, tested.m_requests, 1));
+        auto const exchange = tested.m_requests[0].m_exchange;
+        BOOST_TEST(tested.m_http.is_waiting(exchange));
+        is_reset ? client.reset() : client.close();
+        BOOST_TEST(!tested.m_http.is_waiting(exchange));
+        BOOST_TEST(tested.m_abandoned.empty());
+        BOOST_TEST(until_size(loop, tested.m_abandoned, 1));
+        BOOST_TEST(!tested.m_http.is_waiting(exchange));
+    }
+}
+
 // Guards against work for a client that has disconnected, and against a late
 // answer that crashes the server or reaches another client.
 BOOST_AUTO_TEST_CASE(connection_close_abandons_the_exchange)
