Acknowledge no evacuation from applied state before an older one

Cause: a command whose failure domain is in the requested state already is acknowledged without a log entry. The leader compared the applied state only. With slow disks, an evacuation was in its log and not committed; the operator gave up and got the restoration acknowledged at once. Then the evacuation was committed. The other direction failed in the same way.

Change: the leader remembers the log index of the last command that it has proposed. Until that is committed, each command gets a log entry of its own.

Measured: an_uncommitted_command_is_reversed_by_an_entry_of_its_own, with 150 ms a sync, fails on the former code and passes now.

--- a/src/core/roles/pending_operations.cpp
+++ b/src/core/roles/pending_operations.cpp
@@ -364,7 +364,10 @@
         return refuse(reason::version_conflict, "the token is outdated");
     waiting.m_admitted_term = log.term();
     auto const& change = command.m_change;
-    waiting.m_is_fulfilled = state.evacuated().is_as_requested(change);
+    // A command that is not committed yet may reverse what is applied.
+    auto const is_settled = log.commit_index() >= m_last_evacuation_index;
+    waiting.m_is_fulfilled =
+        is_settled && state.evacuated().is_as_requested(change);
     if (waiting.m_is_fulfilled)
         return std::nullopt;
     // An earlier leader may have proposed the command already.
@@ -374,7 +377,8 @@
                       std::to_string(max_evacuated_domains) +
                           " failure domains are evacuated already");
     waiting.m_proposed_term = log.term();
-    log.propose(change);
+    if (auto const index = log.propose(change))
+        m_last_evacuation_index = *index;
     return std::nullopt;
 }
 
--- a/src/core/roles/pending_operations.hpp
+++ b/src/core/roles/pending_operations.hpp
@@ -129,6 +129,8 @@
     std::vector<pending> m_pending;
     time_point m_advanced_at{0};
     evacuation_fence m_fence;
+    /// Log entry of the last evacuation command that this replica proposed.
+    log_index m_last_evacuation_index = 0;
 };
 
 } // namespace hickorylatch::core
--- a/tests/core/roles/test_evacuations.cpp
+++ b/tests/core/roles/test_evacuations.cpp
@@ -588,6 +588,31 @@
     }
 }
 
+// Guards against a command that is acknowledged because the domain is in the
+// requested state, while the opposite command is in the leader's log and not
+// committed yet.
+BOOST_AUTO_TEST_CASE(an_uncommitted_command_is_reversed_by_an_entry_of_its_own)
+{
+    for (auto const is_evacuated : {false, true})
+    {
+        auto plan = fault_plan{};
+        plan.m_sync_delay = 150ms;
+        auto group = replicas{24, plan};
+        auto& system = group.m_system;
+        auto const leader = system.leader();
+        if (!is_evacuated)
+            command(system, leader, evacuate("klang"));
+        auto const old = system.operate(
+            leader, is_evacuated ? evacuate("klang") : restore("klang"));
+        system.run_for(20ms);
+        system.abandon(leader, old);
+        command(system, leader,
+                is_evacuated ? restore("klang") : evacuate("klang"));
+        system.run_for(1s);
+        require_everywhere(group, "klang", !is_evacuated);
+    }
+}
+
 // Guards against a command that an entry keeps for the next leader after its
 // operator has closed the connection or got the opposite one acknowledged.
 BOOST_AUTO_TEST_CASE(an_entry_that_wakes_carries_out_no_old_command)
