Obey each report of draining, whatever its other fields are

What is started that late is lost when the worker leaves.

Cause: a report whose sequence rises by over 1,000 was taken for damaged and ignored for up to 5 s, before its state was looked at, and acknowledged all the same. Reports of draining were also dropped for a clock or a capacity that looks odd, for a sequence below that of a report of another process, before the incarnation was confirmed, and by a restart of the agent. A delayed report could end the draining if its sequence was within the limit.

Change: to stop is always safe, to start is not. Each report of draining is obeyed, or kept for its incarnation until that is confirmed. It is ended only by a report that the worker made later by its own clock, which the agent knows from the worker's answers. That clock also orders the reports, so a sequence that is too high no longer makes later reports look outdated. The checks of accepting reports stay. The decisions move from executor into worker_reports.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -43,15 +43,6 @@
 // arrive within this time.
 constexpr auto link_release_delay = duration{std::chrono::milliseconds{300}};
 
-// One incarnation of a worker keeps its service, capacity and labels and counts
-// its reports. A report that differs may be damaged or come from another
-// process. It is accepted only if no other report has arrived for this time.
-constexpr auto report_silence = duration{std::chrono::seconds{5}};
-constexpr auto sequence_step_limit = std::uint64_t{1'000};
-// A worker's clock is never faster than this process's clock; the rest allows
-// for a suspension of this process.
-constexpr auto clock_lead_limit = duration{std::chrono::seconds{2}};
-
 auto to_milliseconds(duration value) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -489,13 +480,35 @@
 auto executor::reported(time_point now, worker_report const& report,
                         effects& out) -> void
 {
-    if (is_served(report.m_name, report.m_incarnation))
-        update_worker(now, report, out);
-    else
-        m_unconfirmed.reported(now, report);
+    auto const is_own = is_served(report.m_name, report.m_incarnation);
+    if (!report.m_is_accepting)
+        is_own ? stop_accepting(now, report, out)
+               : m_reports.other_worker_drains(report);
+    is_own ? update_worker(now, report, out)
+           : m_unconfirmed.reported(now, report);
     process_pending(now, out);
 }
 
+auto executor::stop_accepting(time_point now, worker_report const& report,
+                              effects& out) -> void
+{
+    m_reports.served_worker_drains(now, report, m_clock);
+    if (std::exchange(m_worker->m_is_accepting, false))
+        worker_changed(report, out);
+}
+
+auto executor::worker_changed(worker_report const& report, effects& out) -> void
+{
+    out.emplace_back(
+        log_line{log_level::info,
+                 "worker_changed",
+                 {{"worker", report.m_name},
+                  {"accepting", report.m_is_accepting ? "yes" : "no"},
+                  {"sequence", std::to_string(report.m_sequence)}}});
+    for (auto& [node, requester] : m_requesters)
+        requester.m_is_announced = false;
+}
+
 auto executor::is_served(std::string_view name, std::int64_t incarnation) const
     -> bool
 {
@@ -509,17 +522,6 @@
            (incarnation != 0 && incarnation != m_worker->m_incarnation);
 }
 
-auto executor::is_plausible(time_point now, worker_report const& report) const
-    -> bool
-{
-    return report.m_service == m_worker->m_service &&
-           report.m_capacity == m_worker->m_capacity &&
-           report.m_labels == m_worker->m_labels &&
-           report.m_sequence - m_worker->m_sequence <= sequence_step_limit &&
-           report.m_clock_ms <=
-               m_clock.at(now) + to_milliseconds(clock_lead_limit);
-}
-
 auto executor::answered(time_point now, worker_checked const& answer,
                         effects& out) -> void
 {
@@ -531,7 +533,7 @@
                 log_line{log_level::info,
                          "worker_replaced",
                          {{"worker", m_worker->m_name},
-                          {"by", confirmed->m_name},
+                          {"by", confirmed->m_report.m_name},
                           {"running", std::to_string(m_live.size())}}});
         begin_incarnation(now, *confirmed, out);
     }
@@ -548,19 +550,16 @@
 auto executor::update_worker(time_point now, worker_report const& report,
                              effects& out) -> void
 {
-    if (report.m_sequence <= m_worker->m_sequence)
-        return;
-    if (!is_plausible(now, report) && now - m_reported_at < report_silence)
-    {
+    auto const decision = m_reports.decide(now, *m_worker, report, m_clock);
+    if (decision == report_decision::implausible)
         out.emplace_back(
             log_line{log_level::warning,
                      "worker_report_ignored",
                      {{"worker", report.m_name},
                       {"sequence", std::to_string(report.m_sequence)},
                       {"service", report.m_service}}});
+    if (decision != report_decision::current)
         return;
-    }
-    m_reported_at = now;
     auto const is_changed = report.m_is_accepting != m_worker->m_is_accepting ||
                             report.m_capacity != m_worker->m_capacity ||
                             report.m_labels != m_worker->m_labels ||
@@ -568,29 +567,23 @@
     m_clock.observe(now, report.m_clock_ms);
     m_worker = report;
     if (is_changed)
-    {
-        out.emplace_back(
-            log_line{log_level::info,
-                     "worker_changed",
-                     {{"worker", report.m_name},
-                      {"accepting", report.m_is_accepting ? "yes" : "no"},
-                      {"sequence", std::to_string(report.m_sequence)}}});
-        for (auto& [node, requester] : m_requesters)
-            requester.m_is_announced = false;
-    }
+        worker_changed(report, out);
 }
 
-auto executor::begin_incarnation(time_point now, worker_report const& report,
+auto executor::begin_incarnation(time_point now,
+                                 confirmed_worker const& confirmed,
                                  effects& out) -> void
 {
+    auto const& report = confirmed.m_report;
+    auto const clock_ms =
+        confirmed.m_clock_ms > 0 ? confirmed.m_clock_ms : report.m_clock_ms;
     m_worker = report;
-    m_reported_at = now;
+    m_worker->m_is_accepting = m_reports.begin_incarnation(now, confirmed);
     m_clock.reset();
-    m_clock.observe(now, report.m_clock_ms);
+    m_clock.observe(now, clock_ms);
     // The worker's clock never goes back during an incarnation, so a restarted
     // agent gets a higher token than its predecessor.
-    m_token = static_cast<std::uint64_t>(
-        std::max(report.m_clock_ms, std::int64_t{1}));
+    m_token = static_cast<std::uint64_t>(std::max(clock_ms, std::int64_t{1}));
     m_last_handled_end = 0;
     m_acknowledged_end = 0;
     m_unrecorded_ends.clear();
@@ -635,6 +628,7 @@
     // The message may be a delayed one of an earlier incarnation, so the
     // worker's runs end by its lists or by their lease.
     m_worker->m_is_accepting = false;
+    m_reports.served_worker_drains(now, *m_worker, m_clock);
     refuse_all_waiting(now, reason::no_capacity, out);
     m_polls.request_list();
     process_pending(now, out);
--- a/src/core/placement/executor.hpp
+++ b/src/core/placement/executor.hpp
@@ -16,6 +16,7 @@
 #include "core/placement/unconfirmed_worker.hpp"
 #include "core/placement/worker_clock.hpp"
 #include "core/placement/worker_polls.hpp"
+#include "core/placement/worker_reports.hpp"
 
 #include <cstdint>
 #include <map>
@@ -138,13 +139,15 @@
     /// True for the answer to an order that was not for the incarnation that is
     /// served. 0 is an unknown incarnation.
     [[nodiscard]] auto is_outdated(std::int64_t incarnation) const -> bool;
-    /// True if the report can come from the incarnation that is served.
-    [[nodiscard]] auto is_plausible(time_point now,
-                                    worker_report const& report) const -> bool;
+    /// Handles a report of draining of the worker that is served.
+    auto stop_accepting(time_point now, worker_report const& report,
+                        effects& out) -> void;
+    /// Logs a change and announces it to the requesters.
+    auto worker_changed(worker_report const& report, effects& out) -> void;
     /// Handles a report of the worker that is served.
     auto update_worker(time_point now, worker_report const& report,
                        effects& out) -> void;
-    auto begin_incarnation(time_point now, worker_report const& report,
+    auto begin_incarnation(time_point now, confirmed_worker const& confirmed,
                            effects& out) -> void;
     auto dispatch(time_point now, effects& out) -> void;
     auto start(time_point now, waiting_run const& next, effects& out) -> void;
@@ -229,8 +232,7 @@
     known_evacuations m_evacuations;
     std::optional<worker_report> m_worker;
     unconfirmed_worker m_unconfirmed;
-    /// When the last report was accepted.
-    time_point m_reported_at{0};
+    worker_reports m_reports;
     worker_clock m_clock;
     std::uint64_t m_token = 0;
     /// The current incarnation of the worker has listed its runs, so that its
--- a/src/core/placement/unconfirmed_worker.cpp
+++ b/src/core/placement/unconfirmed_worker.cpp
@@ -46,7 +46,7 @@
 }
 
 auto unconfirmed_worker::answered(time_point now, worker_checked const& answer)
-    -> std::optional<worker_report>
+    -> std::optional<confirmed_worker>
 {
     if (!m_report || !m_is_outstanding || m_report->m_name != answer.m_name ||
         m_report->m_incarnation != answer.m_incarnation)
@@ -58,10 +58,9 @@
     {
     case worker_answer::accepted:
     {
-        auto confirmed = std::move(m_report);
+        auto confirmed =
+            confirmed_worker{std::move(*m_report), answer.m_clock_ms};
         m_report.reset();
-        if (answer.m_clock_ms > 0)
-            confirmed->m_clock_ms = answer.m_clock_ms;
         return confirmed;
     }
     case worker_answer::other_lifetime:
--- a/src/core/placement/unconfirmed_worker.hpp
+++ b/src/core/placement/unconfirmed_worker.hpp
@@ -13,6 +13,15 @@
 namespace hickorylatch::core
 {
 
+/// A report that the worker has confirmed.
+struct confirmed_worker
+{
+    worker_report m_report;
+    /// The worker's clock when it confirmed the report, in milliseconds; 0 if
+    /// not known.
+    std::int64_t m_clock_ms = 0;
+};
+
 /// A report of a worker that the agent does not serve: a new incarnation, or
 /// one that has ended, or none, as reports may be delayed or come from another
 /// process. The worker that answers at the worker's address decides which.
@@ -28,7 +37,7 @@
     auto left(std::string_view name) -> void;
     /// Returns the report once the worker has confirmed it.
     auto answered(time_point now, worker_checked const& answer)
-        -> std::optional<worker_report>;
+        -> std::optional<confirmed_worker>;
 
     [[nodiscard]] auto next_deadline() const -> time_point;
 
