--- a/src/net/arrival_bound.cpp
+++ b/src/net/arrival_bound.cpp
@@ -39,7 +39,7 @@
 
 auto arrival_bound::note() -> void
 {
-    std::ranges::rotate(m_notes, m_notes.begin() + 1);
+    std::rotate(m_notes.begin(), m_notes.begin() + 1, m_notes.end());
     m_notes.back() = m_loop.now();
     m_timer.start(interval);
 }
