Use no report of a worker with a clock from the future

A first report of another process, or one after a silence of 5 s, could bring a reading from the future; all later reports of the worker then looked outdated, so that it stayed out of use after a draining.

Change: the clock in the worker's answer limits that of its first report, and a report whose clock is over 2 s ahead is not used after a silence either.

Measured: a_clock_from_the_future_does_no_lasting_harm fails without the change (4 checks) and passes with it; the 158 tests of the library pass.

--- a/src/core/placement/executor.cpp
+++ b/src/core/placement/executor.cpp
@@ -578,6 +578,8 @@
     auto const clock_ms =
         confirmed.m_clock_ms > 0 ? confirmed.m_clock_ms : report.m_clock_ms;
     m_worker = report;
+    // A reading from the future would make all later reports look outdated.
+    m_worker->m_clock_ms = std::min(report.m_clock_ms, clock_ms);
     m_worker->m_is_accepting = m_reports.begin_incarnation(now, confirmed);
     m_clock.reset();
     m_clock.observe(now, clock_ms);
--- a/src/core/placement/worker_reports.cpp
+++ b/src/core/placement/worker_reports.cpp
@@ -15,7 +15,9 @@
 constexpr auto report_silence = duration{std::chrono::seconds{5}};
 constexpr auto sequence_step_limit = std::uint64_t{1'000};
 // A worker's clock is never faster than this process's clock; the rest allows
-// for a suspension of this process.
+// for a suspension of this process. A report beyond it is never used, as all
+// later ones would look outdated. The next answer of the worker corrects an
+// estimate that is too low.
 constexpr auto clock_lead_limit_ms = std::int64_t{2'000};
 // Age of the first report of an incarnation from which it does not show that
 // the worker accepts runs: an earlier process of this agent may have got a
@@ -83,13 +85,16 @@
     if (!is_newer(report, last) ||
         (report.m_is_accepting && !is_after_draining(report)))
         return report_decision::outdated;
-    auto const is_plausible =
+    auto const is_from_the_future =
+        clock.is_known() &&
+        report.m_clock_ms > clock.at(now) + clock_lead_limit_ms;
+    auto const is_unchanged =
         report.m_service == last.m_service &&
         report.m_capacity == last.m_capacity &&
         report.m_labels == last.m_labels &&
-        report.m_sequence - last.m_sequence <= sequence_step_limit &&
-        report.m_clock_ms <= clock.at(now) + clock_lead_limit_ms;
-    if (!is_plausible && now - m_used_at < report_silence)
+        report.m_sequence - last.m_sequence <= sequence_step_limit;
+    if (is_from_the_future ||
+        (!is_unchanged && now - m_used_at < report_silence))
         return report_decision::implausible;
     m_used_at = now;
     return report_decision::current;
--- a/tests/core/placement/test_worker_reports.cpp
+++ b/tests/core/placement/test_worker_reports.cpp
@@ -147,6 +147,25 @@
     BOOST_TEST(served.m_executor.worker()->m_sequence == 5U);
 }
 
+// Guards against a report of another process with a clock from the future,
+// after which all reports of the worker look outdated.
+BOOST_AUTO_TEST_CASE(a_clock_from_the_future_does_no_lasting_harm)
+{
+    constexpr auto future_ms = std::int64_t{1} << 53U;
+    auto first = agent{};
+    first.report(1'000, make_report(1, future_ms, true));
+    first.confirm(1'000, 1, 1'000);
+    auto silent = serving_agent{};
+    silent.report(7'000, make_report(2, future_ms, true));
+    for (auto* const served : std::vector<agent*>{&first, &silent})
+    {
+        served->report(7'500, make_report(3, 7'500, false));
+        served->report(9'000, make_report(4, 9'000, true));
+        BOOST_TEST(served->is_accepting());
+        BOOST_TEST(served->m_executor.worker()->m_sequence == 4U);
+    }
+}
+
 // Guards against a draining of a new incarnation that is forgotten, because
 // another report arrives before the worker is asked which one it is.
 BOOST_AUTO_TEST_CASE(a_draining_that_is_not_confirmed_yet_is_kept)
