Wait for the log in the check of an evacuation that waits in a connection

The check asked each replica right after the resumed one was ready. It now waits until the replica has the leader's commit index, and then asks it and the leader.

--- a/tests/system/process_faults.py
+++ b/tests/system/process_faults.py
@@ -804,9 +804,17 @@
     connection.close()
     require(status == 503, f"the old command was answered {status}")
     system.wait_ready()
-    for name in system.listen:
+
+    def evacuated(name):
         shown = get_json(system.operators[name], "/v1/evacuations")
-        require(shown["failure_domains"] == [], f"{name} shows {shown}")
+        return shown["failure_domains"]
+
+    def has_caught_up():
+        last = system.status(system.wait_for_leader())["commit_index"]
+        return system.status(frozen)["commit_index"] >= last
+    wait_until(has_caught_up, "the resumed replica has the whole log")
+    shown = {name: evacuated(name) for name in (frozen, system.leader())}
+    require(not any(shown.values()), f"the old command was executed: {shown}")
 
 
 def malformed_input(system, _):
