--- a/src/net/arrival_bound.hpp
+++ b/src/net/arrival_bound.hpp
@@ -17,7 +17,7 @@
     /// Must be constructed before the process listens.
     explicit arrival_bound(event_loop& loop);
 
-    /// Must be called once the loop runs all the time.
+    /// Starts the timer. Called right before the loop runs.
     auto start() -> void;
     /// What is read in the current loop iteration has arrived after this time.
     /// Does not hold for a connection that waited for being accepted, or for
